--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,444 @@
+//! The four rules, each as one balancer alone must keep it.
+
+mod common;
+use common::*;
+use proptest::prelude::*;
+use ryequay::*;
+use std::collections::BTreeMap;
+
+const KEYED: [Effect; 3] = [
+    Effect::Keyed { scope: DedupScope::All },
+    Effect::Keyed { scope: DedupScope::Zone },
+    Effect::Keyed { scope: DedupScope::Cell },
+];
+
+#[test]
+fn an_unsafe_call_that_may_have_run_fails() {
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled] {
+        let mut rig = Rig::with_classes(&[Effect::Unsafe], 4);
+        rig.on(request(1, 0, 2.0));
+        let actions = rig.on(end(1, 0, outcome));
+        assert!(sends(&actions).is_empty() && failed(&actions, 1), "{outcome:?}: {actions:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_call_that_never_ran_is_sent_again() {
+    for outcome in [Outcome::Rejected, Outcome::ConnectFailed] {
+        let mut rig = Rig::with_classes(&[Effect::Unsafe], 4);
+        let first = sends(&rig.on(request(1, 0, 2.0)));
+        let second = sends(&rig.on(end(1, 0, outcome)));
+        assert!(second.len() == 1 && second[0].1 != first[0].1, "{outcome:?}");
+    }
+}
+
+/// A call that is given up is answered at once; when to come back is said where the settings allow it.
+#[test]
+fn a_refusal_tells_when_to_come_back() {
+    for (most, at_most) in [(None, 0.0), (Some(0.01), 0.01), (Some(2.0), 2.0)] {
+        let mut settings = Settings::simple();
+        settings.limits.retry_after = most;
+        let mut rig = Rig::new(settings, 1);
+        rig.on(request(1, 0, 2.0));
+        let actions = rig.on(end(1, 0, Outcome::Rejected));
+        let told = actions.iter().find_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        });
+        let told = told.expect("refused at once");
+        assert_eq!(told.is_some(), most.is_some());
+        assert!(told.is_none_or(|t| t > 0.0 && t <= at_most), "{told:?}");
+    }
+}
+
+#[test]
+fn attempts_stop_at_the_cap() {
+    let mut rig = Rig::with_classes(&[Effect::Unsafe], 9);
+    rig.on(request(1, 0, 2.0));
+    rig.on(end(1, 0, Outcome::Rejected));
+    rig.on(end(1, 1, Outcome::Rejected));
+    let actions = rig.on(end(1, 2, Outcome::Rejected));
+    assert!(refused(&actions, 1) && sends(&actions).is_empty());
+}
+
+#[test]
+fn a_keyed_repeat_stays_in_its_group_and_window() {
+    for effect in KEYED {
+        let mut rig = Rig::with_classes(&[effect], 8);
+        let first = sends(&rig.on(request(1, 0, 5.0)))[0].1;
+        let again = sends(&rig.on(end(1, 0, Outcome::Reset)));
+        assert_eq!(again.len(), 1, "{effect:?}");
+        let same_cell = again[0].1 % 2 == first % 2;
+        assert!(same_cell || effect != Effect::Keyed { scope: DedupScope::Cell });
+        let mut rig = Rig::with_classes(&[effect], 8);
+        rig.on(request(1, 0, 5.0));
+        rig.now += 1.5;
+        let actions = rig.on(end(1, 0, Outcome::Reset));
+        assert!(sends(&actions).is_empty(), "the window is over");
+        assert_eq!(refused(&actions, 1), effect == Effect::Keyed { scope: DedupScope::All });
+    }
+}
+
+#[test]
+fn a_second_copy_goes_out_only_where_allowed() {
+    for duplicates in [true, false] {
+        let mut settings = Settings::simple();
+        settings.limits.duplicates = duplicates;
+        let mut rig = Rig::new(settings, 4);
+        rig.on(request(1, 0, 3.0));
+        assert_eq!(sends(&rig.later(1.5, 1)).len(), usize::from(duplicates));
+    }
+}
+
+#[test]
+fn an_unsafe_call_gets_no_second_copy() {
+    let mut rig = Rig::with_classes(&[Effect::Unsafe], 4);
+    rig.on(request(1, 0, 3.0));
+    assert!(sends(&rig.later(1.5, 1)).is_empty());
+}
+
+#[test]
+fn a_draining_or_absent_upstream_gets_nothing() {
+    for state in [UpstreamState::Draining, UpstreamState::Off] {
+        let mut rig = Rig::with_classes(&[Effect::Unsafe], 2);
+        let held = rig.fill(1, 0);
+        // What waits for the drained one moves to the other's queue, and is sent there only.
+        rig.list(ListScope::Delta, vec![UpstreamEntry { state, ..entry(1) }]);
+        for id in 1..held {
+            assert!(sends(&rig.on(end(id, 0, Outcome::Ok))).iter().all(|(_, upstream)| *upstream == 2));
+        }
+        for id in 1000..1020 {
+            assert!(sends(&rig.on(request(id, 0, 2.0))).iter().all(|(_, upstream)| *upstream == 2));
+        }
+    }
+    let mut rig = Rig::with_classes(&[Effect::Safe], 2);
+    rig.list(ListScope::Full, vec![entry(2)]);
+    assert_eq!(sends(&rig.on(request(1, 0, 2.0))), [(1, 2)]);
+}
+
+#[test]
+fn calls_held_for_a_drained_upstream_move() {
+    let mut rig = Rig::with_classes(&[Effect::Unsafe], 1);
+    let held = rig.fill(1, 0);
+    rig.list(ListScope::Delta, vec![UpstreamEntry { state: UpstreamState::Draining, ..entry(1) }]);
+    assert_eq!(sends(&rig.list(ListScope::Delta, vec![entry(2)])), [(held, 2)]);
+}
+
+#[test]
+fn a_cold_upstream_takes_its_warm_share_of_turns() {
+    // 200 turns over ten upstreams, one of which has just started at a fifth of its work.
+    let taken = |age: f64| {
+        let mut rig = Rig::with_classes(&[Effect::Safe], 9);
+        rig.list(ListScope::Delta, vec![UpstreamEntry { since: rig.now - age, ..entry(10) }]);
+        let mut taken = 0;
+        for id in 1..=200 {
+            taken += u32::from(sends(&rig.on(request(id, 0, 2.0)))[0].1 == 10);
+            rig.on(end(id, 0, Outcome::Ok));
+        }
+        taken
+    };
+    assert!((2..=5).contains(&taken(0.0)), "{} at the start", taken(0.0));
+    assert!((9..=13).contains(&taken(5.0)), "{} half way", taken(5.0));
+    assert_eq!(taken(10.0), 20);
+}
+
+#[test]
+fn cold_upstreams_keep_to_their_share_when_the_others_are_down() {
+    let mut rig = Rig::with_classes(&[Effect::Unsafe], 3);
+    rig.list(ListScope::Delta, vec![UpstreamEntry { since: rig.now, ..entry(4) }]);
+    // The three warm ones reject all; the cold one still gets no more than its part of even turns.
+    let (mut next, mut cold) = (1, 0);
+    while next <= 100 {
+        let mut sent = sends(&rig.on(request(next, 0, 2.0)));
+        let mut attempt = 0;
+        while let Some((id, upstream)) = sent.first().copied() {
+            cold += usize::from(upstream == 4);
+            let outcome = if upstream == 4 { Outcome::Ok } else { Outcome::Rejected };
+            sent = sends(&rig.on(end(id, attempt, outcome)));
+            attempt += 1;
+        }
+        rig.later(0.5, next);
+        rig.now -= 0.5;
+        next += 1;
+    }
+    assert!(cold <= 10, "{cold} of 100 calls");
+}
+
+#[test]
+fn a_fresh_balancer_spares_a_cold_upstream() {
+    let mut first = 0;
+    for seed in 0..100 {
+        let mut balancer = Balancer::new(Settings::simple(), seed, 100.0).unwrap();
+        let mut actions = Vec::new();
+        let entries = vec![entry(1), UpstreamEntry { since: 99.9, ..entry(2) }];
+        balancer.handle(100.0, Event::Upstreams(ListScope::Cached, entries), &mut actions);
+        for id in 1..=2 {
+            balancer.handle(100.0, request(id, 0, 2.0), &mut actions);
+        }
+        first += sends(&actions).iter().filter(|(_, upstream)| *upstream == 2).count();
+    }
+    assert!(first <= 50, "{first} of 100 fresh balancers sent to it at once");
+}
+
+#[test]
+fn balancers_ask_discovery_at_moments_of_their_own() {
+    let settings = Settings { discovery: Discovery::Ask, ..Settings::simple() };
+    let mut waits = Vec::new();
+    for seed in 0..50 {
+        let mut balancer = Balancer::new(settings.clone(), seed, 0.0).unwrap();
+        let mut sum = 0.0;
+        for scope in [ListScope::Cached, ListScope::Failed, ListScope::Failed] {
+            let mut actions = Vec::new();
+            balancer.handle(sum, Event::Upstreams(scope, Vec::new()), &mut actions);
+            let Action::SetTimer { after, token } = actions[0] else { panic!("{actions:?}") };
+            assert!(after < 4.0 * settings.rules.ask_within);
+            sum += after;
+            let mut actions = Vec::new();
+            balancer.handle(sum, Event::Timer(token), &mut actions);
+            assert_eq!(actions, [Action::Subscribe]);
+            if scope == ListScope::Cached {
+                assert!(after < settings.rules.ask_within, "asked in time");
+                waits.push(after);
+            }
+        }
+    }
+    waits.sort_by(f64::total_cmp);
+    assert!(waits[40] - waits[10] > 1.0, "they ask at moments of their own");
+}
+
+/// What the world knows of one request.
+#[derive(Default)]
+struct Known {
+    class: usize,
+    deadline: f64,
+    answered: bool,
+    tries: Vec<(u64, f64, Option<Outcome>)>,
+}
+
+/// Plays random events and checks every action against the rules.
+fn play(steps: Vec<(u8, u64, u8)>, duplicates: bool, cancel: bool, ask: bool) -> Result<(), TestCaseError> {
+    let effects = [Effect::Safe, Effect::Unsafe, KEYED[0], KEYED[1], KEYED[2]];
+    let zoned = |id: u64| UpstreamEntry { zone: id as usize % 3, ..entry(id) };
+    let mut settings = Settings { classes: effects.map(class).to_vec(), ..Settings::simple() };
+    settings.limits.duplicates = duplicates;
+    settings.limits.cancel = cancel;
+    settings.discovery = if ask { Discovery::Ask } else { Discovery::Push };
+    let mut rig = Rig::new(settings.clone(), 0);
+    rig.list(ListScope::Full, (1..=6).map(zoned).collect());
+    let mut on: BTreeMap<u64, bool> = (1..=6).map(|id| (id, true)).collect();
+    let mut known: BTreeMap<u64, Known> = BTreeMap::new();
+    let mut timers: Vec<(f64, u64)> = Vec::new();
+    let mut next = 1;
+    let quiet = std::iter::repeat_n((9, 0, 0), 4000);
+    for (kind, pick, detail) in steps.into_iter().chain(quiet) {
+        let open: Vec<(u64, u32)> = known
+            .iter()
+            .flat_map(|(id, k)| k.tries.iter().enumerate().map(move |(n, t)| (*id, n as u32, t.2)))
+            .filter(|t| t.2.is_none())
+            .map(|t| (t.0, t.1))
+            .collect();
+        // Attempts end at their deadline at the latest.
+        let due = open.iter().find(|(id, _)| known[id].deadline <= rig.now).copied();
+        timers.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let event = match kind {
+            _ if due.is_some() => {
+                let (id, n) = due.unwrap();
+                let k = known.get_mut(&id).unwrap();
+                k.tries[n as usize].2 = Some(Outcome::TimedOut);
+                let (outcome, concluded) = (Outcome::TimedOut, k.answered);
+                Event::Outcome(AttemptEnd {
+                    id: RequestId(id),
+                    attempt: n,
+                    outcome,
+                    elapsed: 1.0,
+                    idle: None,
+                    concluded,
+                })
+            }
+            _ if timers.last().is_some_and(|t| t.0 <= rig.now) => Event::Timer(timers.pop().unwrap().1),
+            0..=2 => {
+                let (class, deadline) = (detail as usize % 5, rig.now + 2.0);
+                known.insert(next, Known { class, deadline, ..Known::default() });
+                next += 1;
+                request(next - 1, class, 2.0)
+            }
+            3..=5 if !open.is_empty() => {
+                let (id, n) = open[pick as usize % open.len()];
+                let outcomes = [
+                    Outcome::Ok,
+                    Outcome::Ok,
+                    Outcome::Error,
+                    Outcome::Spoilt,
+                    Outcome::Rejected,
+                    Outcome::ConnectFailed,
+                    Outcome::Reset,
+                    Outcome::Cancelled,
+                    Outcome::NotSent,
+                ];
+                let outcome = outcomes[detail as usize % outcomes.len()];
+                let k = known.get_mut(&id).unwrap();
+                k.tries[n as usize].2 = Some(outcome);
+                k.answered |= outcome == Outcome::Ok;
+                let (concluded, elapsed) = (k.answered, 0.05);
+                Event::Outcome(AttemptEnd {
+                    id: RequestId(id),
+                    attempt: n,
+                    outcome,
+                    elapsed,
+                    idle: None,
+                    concluded,
+                })
+            }
+            6 => {
+                let (id, now_on) = (1 + pick % 6, detail % 3 != 0);
+                on.insert(id, now_on);
+                let state = if now_on { UpstreamState::On } else { UpstreamState::Draining };
+                Event::Upstreams(ListScope::Delta, vec![UpstreamEntry { state, ..zoned(id) }])
+            }
+            7 if !known.is_empty() => {
+                let (id, k) =
+                    known.iter_mut().nth(pick as usize % next.min(5) as usize % (next - 1) as usize).unwrap();
+                k.answered = true;
+                Event::ClientGone(RequestId(*id))
+            }
+            _ => {
+                rig.now += 0.02;
+                continue;
+            }
+        };
+        for action in rig.on(event) {
+            match action {
+                Action::Send { id, upstream, .. } => {
+                    let k = known.get_mut(&id.0).unwrap();
+                    prop_assert!(!k.answered, "sent after its answer");
+                    prop_assert!(on[&upstream.0], "sent to a drained upstream");
+                    prop_assert!(k.tries.len() < settings.limits.attempts as usize);
+                    prop_assert!(duplicates || k.tries.iter().all(|t| t.2.is_some()));
+                    let ran = k.tries.iter().find(|t| !t.2.is_some_and(Outcome::never_ran));
+                    match (effects[k.class], ran) {
+                        (Effect::Unsafe, Some(_)) => prop_assert!(false, "an effect twice"),
+                        (Effect::Keyed { scope }, Some(first)) => {
+                            prop_assert!(scope != DedupScope::Cell || first.0 % 2 == upstream.0 % 2);
+                            prop_assert!(scope != DedupScope::Zone || first.0 % 3 == upstream.0 % 3);
+                            prop_assert!(rig.now < first.1 + 1.0);
+                        }
+                        _ => {}
+                    }
+                    k.tries.push((upstream.0, rig.now, None));
+                }
+                Action::Refuse { id, .. } | Action::Fail { id } => {
+                    let k = known.get_mut(&id.0).unwrap();
+                    prop_assert!(!k.answered, "answered twice");
+                    let ran = k.tries.iter().any(|t| !t.2.is_some_and(Outcome::never_ran));
+                    let bound = effects[k.class] == Effect::Unsafe || KEYED[1..].contains(&effects[k.class]);
+                    prop_assert!(
+                        matches!(action, Action::Fail { .. }) || !(ran && bound),
+                        "refused what may have run"
+                    );
+                    k.answered = true;
+                }
+                Action::Cancel { .. } => prop_assert!(cancel, "cancelled where that is forbidden"),
+                Action::SetTimer { after, token } => timers.push((rig.now + after, token)),
+                _ => {}
+            }
+        }
+        for (id, k) in &known {
+            prop_assert!(k.answered || rig.now <= k.deadline + 0.02, "{id} has no answer");
+        }
+    }
+    prop_assert_eq!(rig.load(), (0, 0));
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        rng_seed: prop::test_runner::RngSeed::Fixed(20_261_128),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_mix_of_events_keeps_the_rules(
+        steps in prop::collection::vec((0u8..10, 0u64..1000, 0u8..120), 0..400),
+        duplicates: bool,
+        cancel: bool,
+        ask: bool,
+    ) {
+        play(steps, duplicates, cancel, ask)?;
+    }
+}
+
+#[test]
+fn a_started_stream_is_left_alone() {
+    let mut rig = Rig::with_classes(&[Effect::Safe], 3);
+    rig.on(request(1, 0, 2.0));
+    assert!(rig.on(Event::Started(RequestId(1))).is_empty());
+    assert!(rig.later(30.0, 1).is_empty(), "it has no deadline any more");
+    assert_eq!(rig.load(), (1, 1), "its slot is taken while it streams");
+    assert!(rig.on(end(1, 0, Outcome::Ok)).is_empty());
+    assert_eq!(rig.load(), (0, 0));
+}
+
+#[test]
+fn callers_whose_reach_widens_together_spare_a_cold_upstream() {
+    // Forty callers turn over three of nine upstreams each; a tenth is listed that stays at a hundredth of its
+    // work. After many calls each, all have to wait at once and widen their reach to it.
+    let mut cold = 0;
+    for me in 0..40 {
+        let mut settings = Settings { me, peers_total: 40, ..Settings::simple() };
+        (settings.rules.start_capacity, settings.rules.cold) = (0.01, 1e6);
+        let mut rig = Rig::new(settings, 9);
+        rig.list(ListScope::Delta, vec![UpstreamEntry { since: rig.now, ..entry(10) }]);
+        let mut id = 1;
+        for _ in 0..600 {
+            rig.on(request(id, 0, 20.0));
+            rig.on(end(id, 0, Outcome::Ok));
+            id += 1;
+        }
+        let mut sent: Vec<u64> = Vec::new();
+        for _ in 0..60 {
+            let mut actions = rig.on(request(id, 0, 20.0));
+            actions.extend(rig.on(request(id + 1, 0, 20.0)));
+            if id % 4 == 1 && !sent.is_empty() {
+                actions.extend(rig.on(end(sent.remove(0), 0, Outcome::Ok)));
+            }
+            id += 2;
+            sent.extend(sends(&actions).iter().map(|s| s.0));
+            cold += sends(&actions).iter().filter(|s| s.1 == 10).count();
+        }
+    }
+    assert!(cold <= 8, "{cold} calls from 40 callers");
+}
+
+#[test]
+fn the_same_events_bring_the_same_actions_also_when_instances_are_interleaved() {
+    let settings = |me| {
+        let classes = [Effect::Safe, Effect::Unsafe].map(class).to_vec();
+        Settings { classes, me, peers_total: 2, discovery: Discovery::Ask, ..Settings::simple() }
+    };
+    let start = |me: usize| Rig { balancer: Balancer::new(settings(me), 5, 100.0).unwrap(), now: 100.0 };
+    let step = |rig: &mut Rig, n: u64| -> Vec<Action> {
+        rig.now += 0.02;
+        match n % 7 {
+            0 if n == 0 => rig.list(ListScope::Cached, (1..=6).map(entry).collect()),
+            1 | 3 | 5 => rig.on(request(n, (n % 2) as usize, 2.0)),
+            2 => rig.on(end(n - 1, 0, Outcome::Ok)),
+            4 => rig.on(end(n - 1, 0, Outcome::Reset)),
+            6 => rig.on(end(n - 1, 0, Outcome::Rejected)),
+            _ => rig.on(Event::Timer(n.saturating_sub(5))),
+        }
+    };
+    let alone = |me| {
+        let mut rig = start(me);
+        (0..3000).map(|n| step(&mut rig, n)).collect::<Vec<_>>()
+    };
+    let (first, second) = (alone(0), alone(1));
+    assert_eq!(first, alone(0));
+    let (mut a, mut b) = (start(0), start(1));
+    for n in 0..3000 {
+        assert_eq!(step(&mut a, n), first[n as usize]);
+        assert_eq!(step(&mut b, n), second[n as usize]);
+    }
+    assert_ne!(first, second);
+}
