Judge turn-aways per class as errors are

A turn-away paused the server for one usual latency and left no other trace, so the turn went on sending it the class.

Ruled out: the network code, which reports these answers as Rejected and the call goes elsewhere; a full queue, as the reports say backlog=0.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -539,7 +539,7 @@
     }
 
     /// Strikes an upstream for losses while it answered nothing, or one class at it also for one that was
-    /// lost in silence, or for errors that its peers don't have.
+    /// lost in silence, or for errors and turn-aways that its peers don't have.
     fn judge(
         &mut self,
         upstream: UpstreamId,
@@ -555,7 +555,9 @@
         // Guards against an upstream that fails fast and so is free soonest for the next call (a black hole),
         // be it a bad release, a full disk or a dependency that it alone has lost. Errors that all have, as
         // when they are passed up from a deeper tier, leave out none. Could hurt where few calls come: some
-        // errors in a row by chance cost a rest.
+        // errors in a row by chance cost a rest. Turning a class away counts as much: the call can go
+        // elsewhere, but it has held a slot until it came back.
+        let fault = matches!(outcome, Outcome::Error | Outcome::Rejected);
         let within = self.turns.order[..self.turns.reach as usize].iter().filter(|id| **id != upstream);
         let shares = within.map(|id| self.upstreams[id].learned.health[1 + f.class].faults);
         let (sum, peers) = shares.fold((0.0, 0.0), |(sum, peers), share| (sum + share, peers + 1.0));
@@ -565,14 +567,14 @@
         for (scope, what) in [(0, "all calls"), (1 + f.class, name)] {
             let h = &mut health[scope];
             h.heard = if lost { h.heard } else { self.now };
-            if matches!(outcome, Outcome::Ok | Outcome::Error) {
-                h.faults += GAIN * (f64::from(u8::from(outcome == Outcome::Error)) - h.faults);
+            if fault || outcome == Outcome::Ok {
+                h.faults += GAIN * (f64::from(u8::from(fault)) - h.faults);
             }
             let outlier = scope > 0 && peers > 0.0 && h.faults > sum / peers + OUTLIER;
             if outcome == Outcome::Ok {
                 h.strikes = if outlier { h.strikes } else { 0 };
             } else if lost && (h.heard <= f.sent || in_silence && scope > 0)
-                || outcome == Outcome::Error && outlier && self.now >= h.rest_until
+                || fault && outlier && self.now >= h.rest_until
             {
                 h.strikes = (h.strikes + 1).min(MOST_STRIKES);
                 if outcome == Outcome::Reset && h.strikes == 1 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,7 +78,7 @@
 pub(crate) struct Health {
     /// When one was last answered.
     pub(crate) heard: f64,
-    /// Share of errors among its answers, as a moving mean.
+    /// Share of errors and turn-aways among its answers, as a moving mean.
     pub(crate) faults: f64,
     pub(crate) strikes: i32,
     pub(crate) rest_until: f64,
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -301,10 +301,16 @@
     assert!((2 * slow..4 * slow).contains(&fast), "{taken:?}");
 }
 
+/// Settings under which what never ran isn't sent again.
+fn one_attempt(mut settings: Settings) -> Settings {
+    settings.limits.attempts = 1;
+    settings
+}
+
 /// Two classes at four upstreams; upstream 1 serves only the first.
 fn one_class_fails(outcome: Outcome) -> (u32, u32) {
     let classes = vec![class(Effect::Unsafe), class(Effect::Unsafe)];
-    let mut rig = Rig::new(Settings { classes, ..Settings::simple() }, 4);
+    let mut rig = Rig::new(one_attempt(Settings { classes, ..Settings::simple() }), 4);
     let mut taken = (0, 0);
     for id in 1..=200 {
         let wanted = usize::from(id % 7 < 3);
@@ -327,6 +333,27 @@
     assert!(served >= 15 && unharmed >= 12, "{served} and {unharmed}");
 }
 
+/// Guards against an upstream that keeps drawing the calls of a class that it alone turns away: each holds a slot
+/// until it comes back, and what waits behind it is given up.
+#[test]
+fn an_upstream_that_alone_turns_one_class_away_keeps_its_turns_for_the_others() {
+    let (served, turned_away) = one_class_fails(Outcome::Rejected);
+    assert!(served >= 15 && turned_away <= 4, "{served} of the good class, {turned_away} of the bad");
+}
+
+#[test]
+fn calls_that_all_upstreams_turn_away_bring_no_rest() {
+    let mut rig = Rig::new(one_attempt(Settings::simple()), 4);
+    let mut taken = [0; 5];
+    for id in 1..=200 {
+        // Past the pause that follows on each.
+        rig.now += 1.0;
+        taken[sends(&rig.on(request(id, 0, 2.0)))[0].1 as usize] += 1;
+        rig.on(end(id, 0, if id % 3 == 0 { Outcome::Ok } else { Outcome::Rejected }));
+    }
+    assert!(taken[1..].iter().all(|n| *n > 20), "{taken:?}");
+}
+
 /// An outcome that came this long after its call was sent.
 fn lost(id: u64, outcome: Outcome, elapsed: f64) -> Event {
     Event::Outcome(AttemptEnd {
