Narrow on the rise over the calm latency, not on its share of the aim

The narrowing took a mean latency above a quarter of the aim for a crowd. Here the work of a call, with its calls to the ledger, takes that much on an idle server.

What is measured now is the part of the time that the aim leaves beyond the calm latency: the least mean of late for each unit of work. The threshold stays.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,8 +20,12 @@
 const HOLD_SHARE: f64 = 0.4;
 /// A silence this many times the usual latency marks an upstream as hung.
 const SILENCE: f64 = 6.0;
-/// Answers take this share of their aim, on the mean: slices and reach are narrowed, not widened.
+/// Answers take this share of what their aim leaves beyond the calm latency, on the mean: slices and reach are
+/// narrowed, not widened.
 const CROWDED: f64 = 0.25;
+/// A class that takes more than this share of its aim on the mean is not calm, whatever was seen of it: a caller
+/// may have started in a crowd.
+const CALM: f64 = 0.5;
 /// Weight of one sample in a moving mean.
 const GAIN: f64 = 0.1;
 /// Share of the answered calls that may be tried again after an attempt that may have run.
@@ -76,7 +80,7 @@
     /// A balancer that knows no upstream yet: give it an `Event::Upstreams` next.
     pub fn new(settings: Settings, seed: u64, now: f64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let usual = |c: &Class| Usual { time: c.aim / SILENCE, work: 1.0, samples: 0.0 };
+        let usual = |c: &Class| Usual { time: c.aim / SILENCE, work: 1.0, samples: 0.0, calm: 0.0 };
         let most = settings.limits.conn_idle;
         Ok(Balancer {
             usual: settings.classes.iter().map(usual).collect(),
@@ -495,8 +499,14 @@
                 u.pace += GAIN.max(1.0 / u.answers) * (pace - u.pace);
                 self.retries = (self.retries + RETRY_SHARE).min(10.0);
                 self.usual[class].add(end.elapsed, work, GAIN);
+                // Guards against taking the work itself for a crowd, where it fills much of the aim: only what
+                // is beyond the calm latency is of the crowd's making.
                 let aim = self.cfg.classes[class].aim * self.cfg.depth_share();
-                self.strain += GAIN * ((end.elapsed / aim).min(1.0) - self.strain);
+                let calm = self.usual[class].calm_latency(work, CALM * aim);
+                if calm < aim {
+                    let risen = ((end.elapsed - calm) / (aim - calm)).clamp(-1.0, 1.0);
+                    self.strain += GAIN * (risen - self.strain);
+                }
                 // Deeper, a call that waits keeps a slot above, and what comes is bounded there.
                 let crowded = self.cfg.tier == 0 && self.strain > CROWDED;
                 // A call that had to wait lets one answer widen: first the reach, then the slices. Without
--- a/src/state.rs
+++ b/src/state.rs
@@ -130,15 +130,26 @@
     pub(crate) time: f64,
     pub(crate) work: f64,
     pub(crate) samples: f64,
+    /// Latency of a unit of work when it was least of late.
+    pub(crate) calm: f64,
 }
 
 impl Usual {
-    /// Takes in one answered attempt; `gain` is the least weight of a sample.
-    pub(crate) fn add(&mut self, time: f64, work: f64, gain: f64) {
+    /// Takes in one answered attempt; `least` is the least weight of a sample.
+    pub(crate) fn add(&mut self, time: f64, work: f64, least: f64) {
         self.samples += 1.0;
-        let gain = gain.max(1.0 / self.samples);
+        let gain = least.max(1.0 / self.samples);
         self.time += gain * (time - self.time);
         self.work += gain * (work - self.work);
+        // Follows the mean down at once, but up so slowly that no crowd of some seconds is taken for calm.
+        let now = self.time / self.work;
+        let up = if gain > least { 1.0 } else { least.powi(3) };
+        self.calm += if now < self.calm { 1.0 } else { up } * (now - self.calm);
+    }
+
+    /// The latency to expect for so much work where nothing is crowded; `most` for the class's mean request.
+    pub(crate) fn calm_latency(&self, work: f64, most: f64) -> f64 {
+        self.calm.min(most / self.work) * work
     }
 
     /// The latency to expect for so much work.
