Trust idle connections while connections that were not idle break as well

Two resets after a rest were enough to distrust all that rested, and one on a connection that was idle for 0.5 ms put the trust at 0.25 ms.

A reset that comes before any work now takes a doubt away, and gives the trust back, if its connection was new or idle for no longer than it is quiet during a call. The same bound holds for silence. Connections that are dropped while idle are still found, as the older test shows.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -472,16 +472,21 @@
         }
         let u = &mut u.learned;
         // A reset on an idle connection, or silence on one and then an answer on a fresher one, speaks for
-        // connections dropped while idle; an answer on one as old speaks against it.
+        // connections dropped while idle; an answer on one as old speaks against it. So does a reset on one that
+        // was new, or idle for no longer than it is quiet during a call: connections break anyway.
         let most = self.cfg.limits.conn_idle;
-        let old = match end.outcome {
-            // One that comes before any work could be done.
-            Reset if end.elapsed < GAIN * flight.usual => idle,
-            _ if answer && idle < u.suspect / 2.0 => u.suspect,
+        let idled = idle > flight.usual;
+        // One that comes before any work could be done.
+        let broken = end.outcome == Reset && end.elapsed < GAIN * flight.usual;
+        let old = match broken {
+            true if idled => idle,
+            false if answer && idle < u.suspect / 2.0 => u.suspect,
             _ => 0.0,
         };
         if old > 0.0 {
             (self.idle.doubt, self.idle.doubted) = (self.idle.doubt + 1.0, self.idle.doubted.min(old / 2.0));
+        } else if broken {
+            (self.idle.doubt, self.idle.trust) = ((self.idle.doubt - 1.0).max(0.0), most);
         } else if answer && idle > self.idle.doubted {
             self.idle.doubt = (self.idle.doubt - CLEARED).max(0.0);
         }
@@ -489,7 +494,7 @@
             self.idle.trust = self.idle.trust.min(self.idle.doubted);
             (self.idle.doubt, self.idle.doubted) = (0.0, most);
         }
-        u.suspect = if lost && end.outcome != Reset { idle } else { 0.0 };
+        u.suspect = if lost && idled && end.outcome != Reset { idle } else { 0.0 };
         match end.outcome {
             Ok => {
                 let pace = (end.elapsed / self.usual[class].latency(work)).clamp(1.0 / SILENCE, SILENCE);
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -476,6 +476,32 @@
     assert!(closes(|id| if id == 2 || id == 11 { Outcome::Reset } else { Outcome::Ok }) >= 6);
 }
 
+/// Guards against a handshake for each call where connections break whether they were idle or not.
+#[test]
+fn idle_connections_are_trusted_while_new_ones_break_as_well() {
+    // The call after a reset finds no idle connection, so that every other reset is one of a new connection.
+    let both = |id: u64| if id % 6 == 2 || id % 6 == 3 { Outcome::Reset } else { Outcome::Ok };
+    assert_eq!(closes(both), 0);
+    // The trust that two on idle ones took comes back with the next on a new one.
+    assert_eq!(closes(|id| if [2, 4, 6].contains(&id) { Outcome::Reset } else { Outcome::Ok }), 1);
+}
+
+/// Guards against the same where calls follow each other so closely that no connection is ever idle for long.
+#[test]
+fn a_connection_that_was_idle_for_less_than_a_call_takes_is_not_doubted() {
+    let mut rig = Rig::with_classes(&[Effect::Unsafe], 1);
+    for id in 1..=40 {
+        rig.now += 0.02;
+        let actions = rig.on(request(id, 0, 2.0));
+        assert!(!actions.iter().any(|a| matches!(a, Action::Close { .. })), "call {id}: {actions:?}");
+        rig.now += 0.1;
+        match id % 4 {
+            0 => rig.on(lost(id, Outcome::Reset, 0.001)),
+            _ => rig.on(end(id, 0, Outcome::Ok)),
+        };
+    }
+}
+
 #[test]
 fn the_pass_of_a_crowded_caller_rests_where_callers_outnumber_upstreams() {
     let waits = |peers_total: usize| {
