Neither rest nor halve an upstream for a single lost connection

Losses so far count as one of a row only if nothing was answered in between. The first of a row now narrows as an error does and rests nothing, as resets did not before; the second halves and rests. A reset on a connection that had been idle narrows no slice, as it is no news of the server in the judgement either.

Ruled out: servers that were down or full, as they answered in between and reported an empty queue; our descriptors (66 of 384).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -495,6 +495,8 @@
             (self.idle.doubt, self.idle.doubted) = (0.0, most);
         }
         u.suspect = if lost && idled && end.outcome != Reset { idle } else { 0.0 };
+        // A connection that may have been dropped while idle says nothing of the upstream.
+        let stale = lost && idle > self.idle.trust || end.outcome == Reset && idle > 0.0;
         match end.outcome {
             Ok => {
                 let pace = (end.elapsed / self.usual[class].latency(work)).clamp(1.0 / SILENCE, SILENCE);
@@ -541,13 +543,16 @@
             Error => u.width *= 1.0 - GAIN,
             // Guards against a full upstream drawing every call, as nothing of ours is in flight there.
             Rejected => u.full_until = self.now + flight.usual,
-            ConnectFailed | Reset | TimedOut if u.health[0].heard <= flight.sent => u.width /= 2.0,
+            ConnectFailed | Reset | TimedOut if u.health[0].heard <= flight.sent && !stale => {
+                // Guards against narrowing for a connection that broke by itself: where the process is gone, the
+                // next doesn't come up either.
+                let single = end.outcome != TimedOut && u.health[0].strikes == 0;
+                u.width *= if single { 1.0 - GAIN } else { 0.5 };
+            }
             _ => {}
         }
         u.width = u.width.max(0.5 / self.turns.slice);
         u.full_until = u.full_until.max(self.now + end.elapsed * (1.0 / self.turns.pass - 1.0));
-        // A connection that may have been dropped while idle says nothing of the upstream.
-        let stale = lost && idle > self.idle.trust || end.outcome == Reset && idle > 0.0;
         if (answer || lost) && !stale {
             self.judge(upstream, &flight, end, lost, actions);
         }
@@ -592,8 +597,9 @@
                 || fault && outlier && self.now >= h.rest_until
             {
                 h.strikes = (h.strikes + 1).min(MOST_STRIKES);
-                if outcome == Outcome::Reset && h.strikes == 1 {
-                    // One that breaks says little: if the process is gone, the next doesn't come up.
+                // One connection that breaks says little: if the process is gone, the next doesn't come up.
+                let first = if matches!(outcome, Outcome::Reset | Outcome::ConnectFailed) { 2 } else { 1 };
+                if h.strikes < first {
                     continue;
                 }
                 // Guards against losing one call after the other to a long silence: a trial may cost as
@@ -603,7 +609,7 @@
                 h.rest_until = self.now + rest;
                 let text = format!("{what} rest for {rest:.1} s after {outcome:?}");
                 let line = Action::Log { upstream: Some(upstream), text };
-                actions.extend((h.strikes == 1 && !logged).then_some(line));
+                actions.extend((h.strikes == first && !logged).then_some(line));
                 logged = true;
             }
         }
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -225,6 +225,10 @@
     let mut rig = Rig::with_classes(&[Effect::Unsafe], 4);
     let dead = sends(&rig.on(request(1, 0, 2.0)))[0].1;
     rig.on(end(1, 0, Outcome::ConnectFailed));
+    for id in 100..105 {
+        let to = sends(&rig.on(request(id, 0, 2.0)))[0].1;
+        rig.on(end(id, 0, if to == dead { Outcome::ConnectFailed } else { Outcome::Ok }));
+    }
     rig.now += 60.0;
     let sent: Vec<u64> = (2..8).flat_map(|id| sends(&rig.on(request(id, 0, 2.0)))).map(|s| s.1).collect();
     assert_eq!(sent.iter().filter(|upstream| **upstream == dead).count(), 1, "one trial: {sent:?}");
@@ -388,8 +392,8 @@
 
 /// Guards against resting an upstream for what isn't its fault: a client in a hurry, or one broken connection.
 #[test]
-fn a_client_in_a_hurry_or_a_single_reset_brings_no_rest() {
-    for outcome in [Outcome::TimedOut, Outcome::Cancelled, Outcome::Reset] {
+fn a_client_in_a_hurry_or_a_single_lost_connection_brings_no_rest() {
+    for outcome in [Outcome::TimedOut, Outcome::Cancelled, Outcome::Reset, Outcome::ConnectFailed] {
         let mut rig = Rig::with_classes(&[Effect::Unsafe], 4);
         let there = sends(&rig.on(request(1, 0, 0.5)))[0].1;
         rig.now += 0.1;
@@ -399,6 +403,42 @@
     }
 }
 
+/// Calls in flight at the only upstream once it has answered one call after these losses; two at an even slice.
+fn slots_after_losses(outcomes: &[(Outcome, f64)]) -> u64 {
+    let mut rig = Rig::new(one_attempt(Settings::simple()), 1);
+    rig.on(request(1, 0, 2.0));
+    rig.on(end(1, 0, Outcome::Ok));
+    for (id, (outcome, idle)) in (10..).zip(outcomes) {
+        rig.now += 0.1;
+        rig.on(request(id, 0, 2.0));
+        rig.on(Event::Outcome(AttemptEnd {
+            id: RequestId(id),
+            attempt: 0,
+            outcome: *outcome,
+            elapsed: 0.001,
+            idle: Some(*idle),
+            concluded: false,
+        }));
+    }
+    // Past a rest.
+    rig.now += 20.0;
+    rig.on(request(50, 0, 2.0));
+    rig.on(end(50, 0, Outcome::Ok));
+    rig.fill(100, 0) - 100
+}
+
+/// Guards against a slice that stays narrow because connections break now and then.
+#[test]
+fn a_single_lost_connection_takes_no_more_from_a_slice_than_an_error_does() {
+    for outcome in [Outcome::Reset, Outcome::ConnectFailed] {
+        assert_eq!(slots_after_losses(&[(outcome, 0.0)]), 2, "{outcome:?}");
+        // With no answer in between they are no accident.
+        assert_eq!(slots_after_losses(&[(outcome, 0.0); 3]), 1, "{outcome:?}");
+    }
+    // What may have been dropped while idle says nothing of the upstream.
+    assert_eq!(slots_after_losses(&[(Outcome::Reset, 0.5); 3]), 2);
+}
+
 #[test]
 fn errors_that_all_upstreams_have_bring_no_rest() {
     let mut rig = Rig::with_classes(&[Effect::Unsafe], 4);
