Rest an upstream for a silent loss only if it loses more than its peers

A loss in silence now counts against an upstream as before where its share of such losses is above twice that of its peers; else only from the second on with no answer in between, so that a hung one is still found.

Ruled out: our cancels for clients that left (other connections, and the losses begin without one), stale connections (half of the lost calls went out within 0.2 ms of an answer on the same one).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -299,16 +299,29 @@
             let h = &u.learned.health[scope];
             self.now >= h.rest_until && (h.strikes == 0 || calls == 0)
         };
-        let (mut same, mut silent) = (0, false);
+        let (mut same, mut overdue, mut unheard) = (0, false, 0);
         for f in &u.flights {
             same += usize::from(f.class == class);
             // Guards against an upstream that loses a part of one class's calls: those that it answers don't
             // excuse the one that is overdue.
-            silent |= self.overdue(f) && (f.class == class || u.learned.health[0].heard <= f.sent);
+            if self.overdue(f) {
+                overdue |= f.class == class;
+                unheard += usize::from(u.learned.health[0].heard <= f.sent);
+            }
         }
+        let silent = unheard > 1 || (overdue || unheard > 0) && !self.loses_as_others(u);
         !silent && well(0, u.flights.len()) && well(1 + class, same)
     }
 
+    /// Guards against leaving out one upstream after the other where calls are lost on the way to any of them:
+    /// a single loss there says nothing of the upstream. Could hurt where all but one hang in turn.
+    fn loses_as_others(&self, u: &Upstream) -> bool {
+        let within = self.turns.order[..self.turns.reach as usize].iter().filter(|id| **id != u.entry.id);
+        let shares = within.map(|id| self.upstreams[id].learned.losses);
+        let (sum, peers) = shares.fold((0.0, 0.0), |(sum, peers), share| (sum + share, peers + 1.0));
+        sum > 0.0 && u.learned.losses <= 2.0 * sum / peers
+    }
+
     fn overdue(&self, f: &Flight) -> bool {
         self.now - f.sent > SILENCE * f.usual
     }
@@ -572,6 +585,9 @@
         // Guards against a rest of minutes after a heavy call. Hints are rough, so what they add is bounded.
         let usual = f.usual.min(MOST_EXCESS * self.usual[f.class].time);
         let in_silence = lost && matches!(outcome, Outcome::Cancelled | Outcome::TimedOut);
+        let losses = &mut self.upstreams.get_mut(&upstream).expect("kept while in flight").learned.losses;
+        *losses += GAIN * GAIN * (f64::from(u8::from(in_silence)) - *losses);
+        let common = in_silence && self.loses_as_others(&self.upstreams[&upstream]);
         // Guards against an upstream that fails fast and so is free soonest for the next call (a black hole),
         // be it a bad release, a full disk or a dependency that it alone has lost. Errors that all have, as
         // when they are passed up from a deeper tier, leave out none. Could hurt where few calls come: some
@@ -593,12 +609,14 @@
             let outlier = scope > 0 && peers > 0.0 && h.faults > sum / peers + OUTLIER;
             if outcome == Outcome::Ok {
                 h.strikes = if outlier { h.strikes } else { 0 };
-            } else if lost && (h.heard <= f.sent || in_silence && scope > 0)
+            } else if lost && (h.heard <= f.sent || in_silence && scope > 0 && !common)
                 || fault && outlier && self.now >= h.rest_until
             {
                 h.strikes = (h.strikes + 1).min(MOST_STRIKES);
-                // One connection that breaks says little: if the process is gone, the next doesn't come up.
-                let first = if matches!(outcome, Outcome::Reset | Outcome::ConnectFailed) { 2 } else { 1 };
+                // One connection that breaks says little: if the process is gone, the next doesn't come up. Nor
+                // does one call that is lost where all lose some.
+                let single = common || matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
+                let first = if single { 2 } else { 1 };
                 if h.strikes < first {
                     continue;
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -66,6 +66,8 @@
     pub(crate) answers: f64,
     /// Of all calls, then of each class.
     pub(crate) health: Vec<Health>,
+    /// Share of its calls that were lost in silence, as a slow moving mean.
+    pub(crate) losses: f64,
     pub(crate) full_until: f64,
     /// How long the connection had been idle on which the last call was lost in silence; 0: none was.
     pub(crate) suspect: f64,
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -390,6 +390,35 @@
     assert!(!next.contains(&there), "{next:?}");
 }
 
+/// Guards against leaving out one upstream after the other where all of them lose a call now and then.
+#[test]
+fn losses_in_silence_that_all_upstreams_have_bring_no_rest() {
+    let mut rig = Rig::with_classes(&[Effect::Unsafe], 4);
+    let mut id = 0;
+    let mut lose_one = |rig: &mut Rig| {
+        let swallowed = id;
+        let there = sends(&rig.on(request(swallowed, 0, 2.0)))[0].1;
+        let mut taken = 0;
+        for number in 1..=24 {
+            id += 1;
+            let to = sends(&rig.on(request(id, 0, 2.0)))[0].1;
+            rig.now += 0.08;
+            rig.on(end(id, 0, Outcome::Ok));
+            // The first half goes by before it is overdue.
+            taken += u32::from(number > 12 && to == there);
+        }
+        rig.on(lost(swallowed, Outcome::TimedOut, 1.92));
+        id += 1;
+        taken
+    };
+    assert_eq!(lose_one(&mut rig), 0, "what one alone has lost does leave it out");
+    for _ in 0..8 {
+        lose_one(&mut rig);
+    }
+    let late: u32 = (0..4).map(|_| lose_one(&mut rig)).sum();
+    assert!(late >= 8, "{late} of 48, where an even turn is 12");
+}
+
 /// Guards against resting an upstream for what isn't its fault: a client in a hurry, or one broken connection.
 #[test]
 fn a_client_in_a_hurry_or_a_single_lost_connection_brings_no_rest() {
