--- a/src/balance.rs
+++ b/src/balance.rs
@@ -30,10 +30,11 @@
 const GAIN: f64 = 0.1;
 /// Share of the answered calls that may be tried again after an attempt that may have run.
 const RETRY_SHARE: f64 = 0.02;
-/// What a try after a spoilt answer takes of that share. Guards against giving up, or passing up as an error,
-/// what is known to have met no crowd: the retries that make a jam worse are those after errors and silence.
-/// Still bounded, to a tenth of the answered calls: could hurt where the spoiling itself comes with load.
-const SPOILT_RETRY: f64 = 0.2;
+/// What a try after a spoilt answer or a broken connection takes of that share. Guards against giving up, or
+/// passing up as an error, what is known to have met no crowd: the retries that make a jam worse are those after
+/// errors and silence. Still bounded, to a tenth of the answered calls: could hurt where the breaking itself
+/// comes with load.
+const BROKEN_RETRY: f64 = 0.2;
 /// Most of a caller's upstreams are not left out together, whatever is thought of them.
 const PANIC_SHARE: f64 = 0.5;
 /// A struck upstream rests for this many usual latencies, doubled by each strike up to `MOST_STRIKES`.
@@ -638,7 +639,7 @@
         let call = &self.calls[&id];
         let until = call.deadline - self.usual_of(id) / 2.0;
         let price = match outcome {
-            Outcome::Spoilt => SPOILT_RETRY,
+            Outcome::Spoilt | Outcome::Reset => BROKEN_RETRY,
             outcome if outcome.never_ran() => 0.0,
             _ => 1.0,
         };
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -468,6 +468,30 @@
     assert_eq!(slots_after_losses(&[(Outcome::Reset, 0.5); 3]), 2);
 }
 
+/// Guards against giving up calls that may be repeated because connections break now and then.
+#[test]
+fn a_broken_connection_costs_a_call_that_may_be_repeated_no_answer() {
+    let given_up = |outcome: Outcome| {
+        let mut rig = Rig::with_classes(&[Effect::Safe], 4);
+        let mut given_up = 0;
+        for id in 1..=300 {
+            rig.on(request(id, 0, 2.0));
+            rig.now += 0.1;
+            // One attempt in twenty; what is sent again is answered.
+            if id % 20 == 0 {
+                let actions = rig.on(lost(id, outcome, 0.001));
+                given_up += u32::from(sends(&actions).is_empty());
+                rig.on(end(id, 1, Outcome::Ok));
+            } else {
+                rig.on(end(id, 0, Outcome::Ok));
+            }
+        }
+        given_up
+    };
+    assert_eq!(given_up(Outcome::Reset), 0);
+    assert!(given_up(Outcome::Error) > 5, "an error may tell of a crowd");
+}
+
 #[test]
 fn errors_that_all_upstreams_have_bring_no_rest() {
     let mut rig = Rig::with_classes(&[Effect::Unsafe], 4);
