Widen a fresh slice fast until the caller first meets a crowd

It widened by one call in ten answers and needed some eight seconds.

Slices now grow by half a call with each answer to a caller whose calls wait, until answers are first late for a crowd; from then on as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -28,6 +28,8 @@
 const CALM: f64 = 0.5;
 /// Weight of one sample in a moving mean.
 const GAIN: f64 = 0.1;
+/// Part of a call by which a slice widens with each answer until the caller first meets a crowd.
+const START: f64 = 0.5;
 /// Share of the answered calls that may be tried again after an attempt that may have run.
 const RETRY_SHARE: f64 = 0.02;
 /// What a try after a spoilt answer or a broken connection takes of that share. Guards against giving up, or
@@ -530,6 +532,10 @@
                 }
                 // Deeper, a call that waits keeps a slot above, and what comes is bounded there.
                 let crowded = self.cfg.tier == 0 && self.strain > CROWDED;
+                self.turns.met_crowd |= crowded;
+                // Guards against a caller that starts again and, wide as it was before, turns calls away for long:
+                // until it meets a crowd, its slices grow by a share of themselves.
+                let step = if self.turns.met_crowd { GAIN } else { START };
                 // A call that had to wait lets one answer widen: first the reach, then the slices. Without
                 // such need both go back.
                 let (most, pressed) =
@@ -544,7 +550,7 @@
                     let back = if crowded { GAIN } else { GAIN * GAIN };
                     u.width += back * (1.0 - u.width);
                 } else if self.turns.reach == most {
-                    u.width += GAIN / self.turns.slice;
+                    u.width += step / self.turns.slice;
                 }
                 // Guards against a pass from each of many callers, which voids the limit: it rests.
                 let pass = if crowded && self.turns.even < OPEN { OPEN } else { 1.0 };
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,6 +17,8 @@
     pub(crate) even: f64,
     /// Share of its time that the pass is open.
     pub(crate) pass: f64,
+    /// Answers have been late for the crowd at least once.
+    pub(crate) met_crowd: bool,
     /// A call had to wait since the last answer.
     pub(crate) pressed: bool,
     /// Where the turn stands, in the same measure as `Upstream::due`.
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -651,11 +651,11 @@
     assert!(held - 400 >= 4, "{} after {widened}; an even slice is two", held - 400);
 }
 
-/// Calls that always wait, at one upstream that answers each after `elapsed`; slots taken after 400 of them.
-fn slots_after(elapsed: impl Fn(u64) -> f64) -> usize {
+/// Calls that always wait, at one upstream that answers each after `elapsed`; slots taken after so many answers.
+fn slots_after(answers: u64, elapsed: impl Fn(u64) -> f64) -> usize {
     let mut rig = Rig::with_classes(&[Effect::Safe], 1);
     let mut sent = Vec::new();
-    for id in 1..=400 {
+    for id in 1..=answers {
         sent.extend(sends(&rig.on(request(id, 0, 50.0))));
         let call = AttemptEnd {
             id: RequestId(sent.remove(0).0),
@@ -675,14 +675,26 @@
 /// Guards against a limit that stays at a few calls because the work alone fills much of the aim, of one second.
 #[test]
 fn a_slice_widens_while_answers_take_no_longer_than_the_work_does() {
-    let (calm, risen) = (slots_after(|_| 0.35), slots_after(|id| if id < 100 { 0.35 } else { 0.7 }));
+    let calm = slots_after(400, |_| 0.35);
+    let risen = slots_after(400, |id| if id < 100 { 0.35 } else { 0.7 });
     assert!(calm > 4, "{calm}; an even slice is two");
     assert!(risen <= 2, "{risen}");
     // One that starts in a crowd has never seen it calm.
-    let crowded = slots_after(|_| 0.9);
+    let crowded = slots_after(400, |_| 0.9);
     assert!(crowded <= 2, "{crowded}");
 }
 
+/// Guards against a caller that, started again, turns calls away for long at upstreams that have room.
+#[test]
+fn a_fresh_slice_widens_fast_until_answers_first_are_late() {
+    let fresh = slots_after(24, |_| 0.2);
+    assert!(fresh >= 8, "{fresh}");
+    // Late answers narrow it; from then on it widens by little.
+    let before = slots_after(80, |id| if (24..56).contains(&id) { 0.9 } else { 0.2 });
+    let after = slots_after(100, |id| if (24..56).contains(&id) { 0.9 } else { 0.2 });
+    assert!((before..=before + 3).contains(&after) && after < fresh, "{before} and {after}");
+}
+
 /// Guards against heavy calls that are late on slow upstreams, while light ones still go to all in turn.
 #[test]
 fn a_heavy_call_tends_to_a_fast_upstream() {
