--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,11 +20,11 @@
 const HOLD_SHARE: f64 = 0.4;
 /// A silence this many times the usual latency marks an upstream as hung.
 const SILENCE: f64 = 6.0;
-/// Answers take this share of what their aim leaves beyond the calm latency, on the mean: slices and reach are
-/// narrowed, not widened.
+/// Answers take this share of what their aim leaves beyond the calm latency, on the mean: slices and reach
+/// are narrowed, not widened.
 const CROWDED: f64 = 0.25;
-/// A class that takes more than this share of its aim on the mean is not calm, whatever was seen of it: a caller
-/// may have started in a crowd.
+/// A class that takes more than this share of its aim on the mean is not calm, whatever was seen of it: a
+/// caller may have started in a crowd.
 const CALM: f64 = 0.5;
 /// Weight of one sample in a moving mean.
 const GAIN: f64 = 0.1;
@@ -33,9 +33,9 @@
 /// Share of the answered calls that may be tried again after an attempt that may have run.
 const RETRY_SHARE: f64 = 0.02;
 /// What a try after a spoilt answer or a broken connection takes of that share. Guards against giving up, or
-/// passing up as an error, what is known to have met no crowd: the retries that make a jam worse are those after
-/// errors and silence. Still bounded, to a tenth of the answered calls: could hurt where the breaking itself
-/// comes with load.
+/// passing up as an error, what is known to have met no crowd: the retries that make a jam worse are those
+/// after errors and silence. Still bounded, to a tenth of the answered calls: could hurt where the breaking
+/// itself comes with load.
 const BROKEN_RETRY: f64 = 0.2;
 /// Most of a caller's upstreams are not left out together, whatever is thought of them.
 const PANIC_SHARE: f64 = 0.5;
@@ -316,8 +316,8 @@
         !silent && well(0, u.flights.len()) && well(1 + class, same)
     }
 
-    /// Guards against leaving out one upstream after the other where calls are lost on the way to any of them:
-    /// a single loss there says nothing of the upstream. Could hurt where all but one hang in turn.
+    /// Guards against leaving out one upstream after the other where calls are lost on the way to any of
+    /// them: a single loss there says nothing of the upstream. Could hurt where all but one hang in turn.
     fn loses_as_others(&self, u: &Upstream) -> bool {
         let within = self.turns.order[..self.turns.reach as usize].iter().filter(|id| **id != u.entry.id);
         let shares = within.map(|id| self.upstreams[id].learned.losses);
@@ -488,8 +488,8 @@
         }
         let u = &mut u.learned;
         // A reset on an idle connection, or silence on one and then an answer on a fresher one, speaks for
-        // connections dropped while idle; an answer on one as old speaks against it. So does a reset on one that
-        // was new, or idle for no longer than it is quiet during a call: connections break anyway.
+        // connections dropped while idle; an answer on one as old speaks against it. So does a reset on one
+        // that was new, or idle for no longer than it is quiet during a call: connections break anyway.
         let most = self.cfg.limits.conn_idle;
         let idled = idle > flight.usual;
         // One that comes before any work could be done.
@@ -522,8 +522,8 @@
                 u.pace += GAIN.max(1.0 / u.answers) * (pace - u.pace);
                 self.retries = (self.retries + RETRY_SHARE).min(10.0);
                 self.usual[class].add(end.elapsed, work, GAIN);
-                // Guards against taking the work itself for a crowd, where it fills much of the aim: only what
-                // is beyond the calm latency is of the crowd's making.
+                // Guards against taking the work itself for a crowd, where it fills much of the aim: only
+                // what is beyond the calm latency is of the crowd's making.
                 let aim = self.cfg.classes[class].aim * self.cfg.depth_share();
                 let calm = self.usual[class].calm_latency(work, CALM * aim);
                 if calm < aim {
@@ -533,8 +533,8 @@
                 // Deeper, a call that waits keeps a slot above, and what comes is bounded there.
                 let crowded = self.cfg.tier == 0 && self.strain > CROWDED;
                 self.turns.met_crowd |= crowded;
-                // Guards against a caller that starts again and, wide as it was before, turns calls away for long:
-                // until it meets a crowd, its slices grow by a share of themselves.
+                // Guards against a caller that starts again and, wide as it was before, turns calls away for
+                // long: until it meets a crowd, its slices grow by a share of themselves.
                 let step = if self.turns.met_crowd { GAIN } else { START };
                 // A call that had to wait lets one answer widen: first the reach, then the slices. Without
                 // such need both go back.
@@ -564,8 +564,8 @@
             // Guards against a full upstream drawing every call, as nothing of ours is in flight there.
             Rejected => u.full_until = self.now + flight.usual,
             ConnectFailed | Reset | TimedOut if u.health[0].heard <= flight.sent && !stale => {
-                // Guards against narrowing for a connection that broke by itself: where the process is gone, the
-                // next doesn't come up either.
+                // Guards against narrowing for a connection that broke by itself: where the process is gone,
+                // the next doesn't come up either.
                 let single = end.outcome != TimedOut && u.health[0].strikes == 0;
                 u.width *= if single { 1.0 - GAIN } else { 0.5 };
             }
@@ -620,8 +620,8 @@
                 || fault && outlier && self.now >= h.rest_until
             {
                 h.strikes = (h.strikes + 1).min(MOST_STRIKES);
-                // One connection that breaks says little: if the process is gone, the next doesn't come up. Nor
-                // does one call that is lost where all lose some.
+                // One connection that breaks says little: if the process is gone, the next doesn't come up.
+                // Nor does one call that is lost where all lose some.
                 let single = common || matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
                 let first = if single { 2 } else { 1 };
                 if h.strikes < first {
