Open a console for operators: health, figures, sending clients away

`console.rs` holds the calls, `stats.rs` the counts. server.rs closed connections only on SIGTERM; it now also ends them for clients that are sent away, and `/healthz` says no meanwhile. socket.rs keeps descriptors for the console and counts an attempt once its last byte is written.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -122,6 +122,13 @@
         (self.calls.len(), slots, self.upstreams.len())
     }
 
+    /// Upstreams of the list that get no call of any class now, though the list would let them.
+    pub fn excluded(&self) -> usize {
+        let avoided = |u: &&Upstream| (0..self.cfg.classes.len()).all(|class| !self.fit(u, class));
+        let on = self.upstreams.values().filter(|u| u.entry.state == UpstreamState::On);
+        on.filter(avoided).count()
+    }
+
     fn on_list(&mut self, scope: ListScope, entries: Vec<UpstreamEntry>, actions: &mut Vec<Action>) {
         if self.cfg.discovery == Discovery::Ask && matches!(scope, ListScope::Cached | ListScope::Failed) {
             // Guards against a stampede on discovery: each balancer asks at a moment of its own, later and
--- a/src/bin/magpiechute/config.rs
+++ b/src/bin/magpiechute/config.rs
@@ -41,6 +41,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    console: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -76,6 +77,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators connect, if they do.
+    pub console: Option<SocketAddr>,
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
@@ -104,10 +107,13 @@
     }
 
     fn from_file(file: File, again: bool, var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
-        let address = |name: &'static str, in_file: Option<String>, file_first: bool| {
+        let optional = |name: &'static str, in_file: Option<String>, file_first: bool| {
             let text = if file_first { in_file.or_else(|| var(name)) } else { var(name).or(in_file) };
-            let text = text.ok_or(ConfigError::Variable(name, VarError::NotPresent))?;
-            text.parse::<SocketAddr>().map_err(|_| ConfigError::Address(name, text))
+            let parse = |text: String| text.parse().map_err(|_| ConfigError::Address(name, text));
+            text.map(parse).transpose()
+        };
+        let address = |name: &'static str, in_file: Option<String>, file_first: bool| {
+            optional(name, in_file, file_first)?.ok_or(ConfigError::Variable(name, VarError::NotPresent))
         };
         let seed = match file.seed.as_str() {
             "" => 0,
@@ -137,6 +143,7 @@
             name: var("PROXY_NAME").unwrap_or(file.name),
             listen: address("PROXY_LISTEN", file.listen, false)?,
             discovery: address("PROXY_DISCOVERY", file.discovery, again)?,
+            console: optional("PROXY_CONSOLE", file.console, false)?,
             seed,
             sockets: file.limits.sockets,
             known: file.known,
@@ -211,7 +218,8 @@
     #[test]
     fn a_bad_field_is_named() {
         type Change = fn(&mut Value);
-        let cases: [(Change, &str); 6] = [
+        let cases: [(Change, &str); 7] = [
+            (|f| f["console"] = json!("there"), "PROXY_CONSOLE"),
             (|f| f["listen"] = json!("here"), "PROXY_LISTEN"),
             (|f| f["discovery"] = Value::Null, "PROXY_DISCOVERY"),
             (|f| f["seed"] = json!("xyz"), "seed"),
--- /dev/null
+++ b/src/bin/magpiechute/console.rs
@@ -0,0 +1,180 @@
+//! The operators' door: health, figures, and what they say about upstreams and clients. One call a connection.
+
+use crate::driver::Driver;
+use crate::log;
+use crate::server::Server;
+use crate::socket::{Budget, Purpose, Socket};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::{sleep, timeout};
+
+/// A call is read and its answer taken within this time, or its connection is closed.
+const WHOLE_CALL: Duration = Duration::from_secs(2);
+const LARGEST_HEAD: usize = 8 << 10;
+const MOST_HEADERS: usize = 64;
+/// No call needs a body; one of this size is read and passed over.
+const LARGEST_BODY: usize = 4 << 10;
+/// After a failed accept the next try comes this much later.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
+
+/// Serves the operators.
+pub struct Console {
+    driver: Rc<RefCell<Driver>>,
+    server: Rc<Server>,
+    budget: Rc<Budget>,
+    /// Whoever has not asked yet, the one that has waited longest first.
+    waiting: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    accepted: Cell<u64>,
+}
+
+/// What a call asks for.
+#[derive(Debug, PartialEq)]
+enum Call {
+    Ready,
+    Stats,
+    /// Send clients away, or end that.
+    SendAway(bool),
+}
+
+impl Call {
+    /// What stands at this path, and the method that it is asked for with.
+    fn at(path: &str) -> Option<(Method, Self)> {
+        let parts: Vec<_> = path.strip_prefix('/')?.split('/').collect();
+        Some(match parts[..] {
+            ["healthcheck"] => (Method::GET, Call::Ready),
+            ["stats"] => (Method::GET, Call::Stats),
+            ["healthcheck", "fail"] => (Method::POST, Call::SendAway(true)),
+            ["healthcheck", "ok"] => (Method::POST, Call::SendAway(false)),
+            _ => return None,
+        })
+    }
+}
+
+impl Console {
+    pub fn new(driver: Rc<RefCell<Driver>>, server: Rc<Server>, budget: Rc<Budget>) -> Rc<Self> {
+        Rc::new(Console { driver, server, budget, waiting: RefCell::default(), accepted: Cell::new(0) })
+    }
+
+    /// Takes connections until dropped.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream).await,
+                Err(error) => {
+                    log::line(format!("console: accept: {error}"));
+                    sleep(ACCEPT_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    async fn admit(self: &Rc<Self>, stream: TcpStream) {
+        let mut permit = self.budget.take(Purpose::Console);
+        if permit.is_none() {
+            // Guards against callers that say nothing and keep out the one that asks.
+            let oldest = self.waiting.borrow().values().next().cloned();
+            oldest.into_iter().for_each(|oldest| oldest.notify_one());
+            // Lets its task close the connection.
+            yield_now().await;
+            yield_now().await;
+            permit = self.budget.take(Purpose::Console);
+        }
+        let Some(permit) = permit else { return };
+        spawn_local(self.clone().serve(Socket::new(stream, permit)));
+    }
+
+    async fn serve(self: Rc<Self>, socket: Socket) {
+        let number = self.accepted.get();
+        self.accepted.set(number + 1);
+        let evicted = Rc::new(Notify::new());
+        self.waiting.borrow_mut().insert(number, evicted.clone());
+        let service = service_fn(|request| async {
+            let answer = self.answer(request).await;
+            self.waiting.borrow_mut().remove(&number);
+            Ok::<_, Infallible>(answer)
+        });
+        let mut http = http1::Builder::new();
+        http.keep_alive(false).max_buf_size(LARGEST_HEAD).max_headers(MOST_HEADERS);
+        tokio::select! {
+            // A caller that breaks off or sends nonsense has been told so by hyper.
+            _ = timeout(WHOLE_CALL, http.serve_connection(socket, service)) => {}
+            () = evicted.notified() => {}
+        }
+        self.waiting.borrow_mut().remove(&number);
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
+        let (head, body) = request.into_parts();
+        let Some((method, call)) = Call::at(head.uri.path()) else {
+            return text(StatusCode::NOT_FOUND, "no such call");
+        };
+        if head.method != method {
+            let mut answer =
+                text(StatusCode::METHOD_NOT_ALLOWED, &format!("this is asked for with {method}"));
+            if let Ok(method) = HeaderValue::from_str(method.as_str()) {
+                answer.headers_mut().insert(ALLOW, method);
+            }
+            return answer;
+        }
+        let too_large = || text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        if body.size_hint().lower() > LARGEST_BODY as u64 {
+            return too_large();
+        }
+        match Limited::new(body, LARGEST_BODY).collect().await {
+            Ok(_) => self.carry_out(call),
+            Err(error) if error.is::<LengthLimitError>() => too_large(),
+            Err(_) => text(StatusCode::BAD_REQUEST, "the body is broken"),
+        }
+    }
+
+    fn carry_out(&self, call: Call) -> Answer {
+        match call {
+            Call::Ready if self.server.is_ready() => text(StatusCode::OK, "ready"),
+            Call::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            Call::Stats => text(StatusCode::OK, &self.driver.borrow().figures()),
+            Call::SendAway(away) => {
+                log::line(format!(
+                    "console: clients are {}",
+                    if away { "sent away" } else { "welcome again" }
+                ));
+                self.server.send_away(away);
+                text(StatusCode::OK, "done")
+            }
+        }
+    }
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn text(status: StatusCode, text: &str) -> Answer {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{}\n", text.trim_end()))));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    response
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_known_by_their_paths() {
+        assert_eq!(Call::at("/healthcheck/ok"), Some((Method::POST, Call::SendAway(false))));
+        for path in ["/", "stats", "/stats/", "/upstreams/s-1", "/upstreams//x", "/upstreams/a/b/maint"] {
+            assert_eq!(Call::at(path), None, "{path}");
+        }
+    }
+}
--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -7,6 +7,7 @@
 use crate::discovery::{self, Endpoint, List};
 use crate::log;
 use crate::socket::Budget;
+use crate::stats::Stats;
 use crate::upstream::{Answer, Attempt, Ended, Forward, Pool};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -130,7 +131,7 @@
     name: String,
     address: SocketAddr,
     since: f64,
-    on: bool,
+    state: UpstreamState,
 }
 
 /// What is due at a moment.
@@ -151,6 +152,7 @@
     classes: Vec<Class>,
     most_open: usize,
     budget: Rc<Budget>,
+    stats: Rc<Stats>,
     pool: Rc<Pool>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -192,7 +194,8 @@
     ) -> Result<Rc<RefCell<Driver>>, ryequay::SettingsError> {
         let clock = Clock::new();
         let limits = &config.settings.limits;
-        let pool = Pool::new(budget.clone(), limits.connect_timeout, limits.conn_idle);
+        let stats = Stats::new(&config.names.classes);
+        let pool = Pool::new(budget.clone(), stats.clone(), limits.connect_timeout, limits.conn_idle);
         let most_open = limits.open.min(config.sockets);
         let discovery = (config.discovery, config.settings.discovery);
         let classes = config.settings.classes.clone();
@@ -209,6 +212,7 @@
                 classes,
                 most_open,
                 budget,
+                stats,
                 pool: Rc::new(pool),
                 events: VecDeque::new(),
                 actions: Vec::new(),
@@ -251,6 +255,16 @@
         &self.pool
     }
 
+    /// Where requests that end are counted.
+    pub fn stats(&self) -> &Rc<Stats> {
+        &self.stats
+    }
+
+    /// All that operators are told in figures.
+    pub fn figures(&self) -> String {
+        self.stats.render(self.targets.len(), self.balancer.excluded())
+    }
+
     /// The request classes.
     pub fn classes(&self) -> &[Class] {
         &self.classes
@@ -339,15 +353,15 @@
         self.index = list.index;
         self.listed |= !list.endpoints.is_empty();
         if list.snapshot {
-            self.targets.values_mut().for_each(|target| target.on = false);
+            self.targets.values_mut().for_each(|target| target.state = UpstreamState::Off);
         }
         let entries = list.endpoints.into_iter().map(|endpoint| self.entry(endpoint)).collect();
-        for (id, _) in self.targets.iter().filter(|(_, target)| !target.on) {
+        for (id, _) in self.targets.iter().filter(|(_, target)| target.state != UpstreamState::On) {
             self.pool.close(*id);
         }
         self.tell(Event::Upstreams(scope, entries));
         self.stop_unbegun();
-        self.targets.retain(|_, target| target.on);
+        self.targets.retain(|_, target| target.state != UpstreamState::Off);
     }
 
     fn entry(&mut self, endpoint: Endpoint) -> UpstreamEntry {
@@ -362,11 +376,10 @@
         if self.targets.get(&id).is_some_and(|old| old.since != since) {
             self.pool.close(id);
         }
-        let on = state == UpstreamState::On;
-        if on {
+        if state == UpstreamState::On {
             self.pool.open(id, endpoint.address);
         }
-        self.targets.insert(id, Target { name: endpoint.name, address: endpoint.address, since, on });
+        self.targets.insert(id, Target { name: endpoint.name, address: endpoint.address, since, state });
         let number = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0);
         UpstreamEntry {
             id,
@@ -384,7 +397,8 @@
         let mut stopped = Vec::new();
         for (id, open) in &self.open {
             for (number, out) in open.attempts.iter().enumerate() {
-                let off = self.targets.get(&out.upstream).is_none_or(|target| !target.on);
+                let off =
+                    self.targets.get(&out.upstream).is_none_or(|target| target.state != UpstreamState::On);
                 if off && out.task.is_some() && out.begun.get().is_none() {
                     stopped.push((*id, number));
                 }
@@ -435,7 +449,8 @@
         let begun = Rc::new(Cell::new(None));
         open.attempts.push(Out { upstream, sent, begun: begun.clone(), task: None });
         let out = &mut open.attempts[number];
-        let attempt = self.targets.get(&upstream).filter(|_| open.reply.is_some()).map(|target| Attempt {
+        let target = self.targets.get(&upstream).filter(|target| target.state == UpstreamState::On);
+        let attempt = target.filter(|_| open.reply.is_some()).map(|target| Attempt {
             pool: self.pool.clone(),
             upstream,
             address: target.address,
@@ -589,13 +604,14 @@
             name: "n".into(),
             listen: nowhere,
             discovery: nowhere,
+            console: None,
             seed: 1,
             sockets: 1024,
             known: List { index: 1, snapshot: true, endpoints },
             settings: Settings { discovery: Discovery::Ask, ..Settings::simple() },
             names: Names::default(),
         };
-        Driver::start(config, Budget::new(1024)).expect("good settings")
+        Driver::start(config, Budget::new(1024, false)).expect("good settings")
     }
 
     fn request(wait: Duration) -> Taken {
--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -1,14 +1,17 @@
 //! magpiechute, the balancer on real sockets. See README.md for what it is told and what it promises.
 
 mod config;
+mod console;
 mod discovery;
 mod driver;
 mod log;
 mod server;
 mod socket;
+mod stats;
 mod upstream;
 
 use config::Config;
+use console::Console;
 use driver::Driver;
 use server::Server;
 use socket::Budget;
@@ -62,11 +65,18 @@
     // Guards against an end by SIGHUP before there is anything to load again.
     let mut hangup = signal(SignalKind::hangup())?;
     let config = Config::load()?;
-    let budget = Budget::new(config.sockets);
-    let (name, address) = (config.name.clone(), config.listen);
+    let budget = Budget::new(config.sockets, config.console.is_some());
+    let (name, address, console) = (config.name.clone(), config.listen, config.console);
     let longest = config.settings.classes.iter().fold(0.0, |longest: f64, c| longest.max(c.deadline));
     let driver = Driver::start(config, budget.clone())?;
     let listener = server::listen(address).map_err(|error| format!("listen on {address}: {error}"))?;
+    let console = console.map(|address| {
+        server::listen(address).map_err(|error| format!("listen on {address} for operators: {error}"))
+    });
+    let console = console.transpose()?;
+    if let Some(console) = &console {
+        log::line(format!("{name} takes operators' calls at {}", console.local_addr()?));
+    }
     log::line(format!("{name} listens on {}", listener.local_addr()?));
     let pool = driver.borrow().pool().clone();
     spawn_local(async move {
@@ -75,7 +85,10 @@
             pool.sweep();
         }
     });
-    let server = Server::new(driver.clone(), budget);
+    let server = Server::new(driver.clone(), budget.clone());
+    if let Some(listener) = console {
+        spawn_local(Console::new(driver.clone(), server.clone(), budget).accept(listener));
+    }
     spawn_local(async move {
         while hangup.recv().await.is_some() {
             reload(&driver);
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -3,6 +3,7 @@
 use crate::driver::{Driver, Final, Taken, Untaken};
 use crate::log;
 use crate::socket::{Budget, Purpose, Socket};
+use crate::stats::{Ending, Stats};
 use crate::upstream::{end_to_end, Forward, LARGEST_BODY};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -41,6 +42,8 @@
 const SILENT: Duration = Duration::from_millis(30);
 /// A request takes no longer than this to be written, as a rule.
 const HALF_SENT: Duration = Duration::from_millis(500);
+/// Once clients are sent away, the front has noticed after this time, and what is idle is closed.
+const FRONT_NOTICES: Duration = Duration::from_millis(700);
 const LARGEST_HEAD: usize = 32 << 10;
 const MOST_HEADERS: usize = 100;
 const LONGEST_ID: usize = 128;
@@ -133,6 +136,10 @@
     accepted: Cell<u64>,
     /// The process is to end: by then all that comes from now on has its answer.
     draining: Cell<Option<Instant>>,
+    /// Clients are sent away; a number for each time that this began, none while they are welcome.
+    away: Cell<Option<u64>>,
+    last_away: Cell<u64>,
+    stats: Rc<Stats>,
 }
 
 /// Listens; an address that a killed predecessor held can be taken at once.
@@ -145,9 +152,13 @@
 
 impl Server {
     pub fn new(driver: Rc<RefCell<Driver>>, budget: Rc<Budget>) -> Rc<Self> {
+        let stats = driver.borrow().stats().clone();
         Rc::new(Server {
             driver,
             budget,
+            away: Cell::new(None),
+            last_away: Cell::new(0),
+            stats,
             clients: RefCell::default(),
             accepted: Cell::new(0),
             draining: Cell::new(None),
@@ -181,6 +192,32 @@
         self.driver.borrow().pool().clear();
     }
 
+    /// Sends clients away, or welcomes them again. Guards against requests that cross the end of their connection:
+    /// answers say at once that it ends, but one that is idle ends only after the front has noticed.
+    pub fn send_away(self: &Rc<Self>, away: bool) {
+        if !away {
+            return self.away.set(None);
+        }
+        if self.away.get().is_some() {
+            return;
+        }
+        let number = self.last_away.get() + 1;
+        self.last_away.set(number);
+        self.away.set(Some(number));
+        let server = self.clone();
+        spawn_local(async move {
+            sleep(FRONT_NOTICES).await;
+            if server.away.get() == Some(number) {
+                server.clients.borrow().values().for_each(|client| client.close());
+            }
+        });
+    }
+
+    /// True while clients are to come here.
+    pub fn is_ready(&self) -> bool {
+        self.driver.borrow().is_ready() && self.draining.get().is_none() && self.away.get().is_none()
+    }
+
     /// Closes also the connections that are new, as nothing has come on them.
     pub fn drain_fresh(&self) {
         self.clients.borrow().values().for_each(|client| client.close());
@@ -219,12 +256,17 @@
         true
     }
 
+    /// True while connections end with the answer that they carry.
+    fn sheds(&self) -> bool {
+        self.draining.get().is_some() || self.away.get().is_some()
+    }
+
     async fn serve(self: Rc<Self>, socket: Socket, refused: bool) {
         let number = self.accepted.get();
         self.accepted.set(number + 1);
         let client = Client::new(socket.clone());
         self.clients.borrow_mut().insert(number, client.clone());
-        let last = refused || self.draining.get().is_some();
+        let last = refused || self.sheds();
         let mut http = http1::Builder::new();
         http.keep_alive(!last).max_buf_size(LARGEST_HEAD).max_headers(MOST_HEADERS);
         client.closing.set(last);
@@ -238,7 +280,7 @@
                 };
                 client.fresh.set(false);
                 // Whoever sends what can't be used may go on with what is no request at all.
-                if server.draining.get().is_some() || answer.status().is_client_error() {
+                if server.sheds() || answer.status().is_client_error() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 client.idle.set(Some(Instant::now()));
@@ -269,8 +311,7 @@
 
     async fn answer(&self, request: Request<Incoming>, client: &Client) -> Answer {
         if request.uri().path() == "/healthz" {
-            let ready = self.driver.borrow().is_ready() && self.draining.get().is_none();
-            return match ready {
+            return match self.is_ready() {
                 true => plain(StatusCode::OK, "ready"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
             };
@@ -281,28 +322,38 @@
         };
         client.fresh.set(false);
         client.idle.set(None);
+        let request = self.stats.take(taken.class);
         let (id, answer) = match self.driver.borrow_mut().take(taken) {
             Ok(taken) => taken,
             Err(Untaken::Full) => {
-                return plain(StatusCode::SERVICE_UNAVAILABLE, "too many requests are open")
+                request.end(Ending::Refused);
+                return plain(StatusCode::SERVICE_UNAVAILABLE, "too many requests are open");
+            }
+            Err(Untaken::Known) => {
+                request.end(Ending::Failed);
+                return plain(StatusCode::CONFLICT, "Request-Id has been used before");
             }
-            Err(Untaken::Known) => return plain(StatusCode::CONFLICT, "Request-Id has been used before"),
         };
         // Dropped with this future when the client goes away first.
         let _gone = Gone { driver: &self.driver, id };
         match answer.await {
             Ok(Final::Served(served)) => {
+                request.end(Ending::Served);
                 let mut response = Response::new(Full::new(served.body));
                 *response.headers_mut() = end_to_end(&served.headers);
                 response
             }
             Ok(Final::Refused { retry_after }) => {
+                request.end(Ending::Refused);
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
                 let value = retry_after.and_then(|t| HeaderValue::from_str(&format!("{t:.3}")).ok());
                 value.map(|value| response.headers_mut().insert("retry-after", value));
                 response
             }
-            Ok(Final::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
+            Ok(Final::Failed) | Err(_) => {
+                request.end(Ending::Failed);
+                plain(StatusCode::BAD_GATEWAY, "failed")
+            }
         }
     }
 
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -1,8 +1,9 @@
 //! Sockets: one budget of descriptors for all of them, and what was read and written on each.
 
+use crate::stats::Stats;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
@@ -17,6 +18,8 @@
 const REFUSALS: usize = 8;
 /// Kept free for discovery, which must get through when all else is crowded.
 const DISCOVERY: usize = 4;
+/// Kept free for the operators' calls, where there is a console: whatever the load is, they get through.
+const CONSOLE: usize = 12;
 /// This part of what is left is for upstreams alone.
 const UPSTREAM_PART: f64 = 0.4;
 
@@ -28,6 +31,8 @@
     /// A client that is only to be told that there is no room.
     Refusal,
     Discovery,
+    /// An operator's call.
+    Console,
 }
 
 /// Counts the open sockets against the most that the process may hold.
@@ -38,16 +43,20 @@
 pub struct Budget {
     clients: Cell<usize>,
     others: Cell<usize>,
+    console: Cell<usize>,
     most: usize,
     most_clients: usize,
+    most_console: usize,
 }
 
 impl Budget {
-    pub fn new(descriptors: usize) -> Rc<Self> {
-        let most = descriptors.saturating_sub(OTHER_FILES);
+    pub fn new(descriptors: usize, console: bool) -> Rc<Self> {
+        let most_console = if console { CONSOLE } else { 0 };
+        let most = descriptors.saturating_sub(OTHER_FILES + most_console);
         let shared = most.saturating_sub(DISCOVERY + REFUSALS) as f64;
         let most_clients = (shared * (1.0 - UPSTREAM_PART)) as usize;
-        Rc::new(Budget { clients: Cell::new(0), others: Cell::new(0), most, most_clients })
+        let (clients, others, console) = Default::default();
+        Rc::new(Budget { clients, others, console, most, most_clients, most_console })
     }
 
     /// Room for one more, if there is.
@@ -58,16 +67,22 @@
             Purpose::Client => clients < self.most_clients && open + DISCOVERY + REFUSALS < self.most,
             Purpose::Refusal => clients < self.most_clients + REFUSALS && open + DISCOVERY < self.most,
             Purpose::Discovery => open < self.most,
-        };
-        let count = match purpose {
-            Purpose::Client | Purpose::Refusal => &self.clients,
-            Purpose::Upstream | Purpose::Discovery => &self.others,
+            Purpose::Console => self.console.get() < self.most_console,
         };
         free.then(|| {
+            let count = self.count(purpose);
             count.set(count.get() + 1);
             Permit { budget: self.clone(), purpose }
         })
     }
+
+    fn count(&self, purpose: Purpose) -> &Cell<usize> {
+        match purpose {
+            Purpose::Client | Purpose::Refusal => &self.clients,
+            Purpose::Upstream | Purpose::Discovery => &self.others,
+            Purpose::Console => &self.console,
+        }
+    }
 }
 
 /// Room for one socket; given back when dropped.
@@ -79,10 +94,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let count = match self.purpose {
-            Purpose::Client | Purpose::Refusal => &self.budget.clients,
-            Purpose::Upstream | Purpose::Discovery => &self.budget.others,
-        };
+        let count = self.budget.count(self.purpose);
         count.set(count.get() - 1);
     }
 }
@@ -98,6 +110,8 @@
     /// Bytes that may be read in all; more breaks the connection.
     most_read: Cell<usize>,
     written: Cell<usize>,
+    /// What is to be told once so many bytes are written.
+    whole: RefCell<Option<(usize, Rc<Stats>)>>,
     /// It has to be quiet when its next byte is written.
     wants_quiet: Cell<bool>,
     _permit: Permit,
@@ -115,7 +129,8 @@
         let _ = stream.set_nodelay(true);
         let (read, most_read) = (Cell::new(0), Cell::new(usize::MAX));
         let (written, wants_quiet) = (Cell::new(0), Cell::new(false));
-        Socket(Rc::new(Inner { stream, read, most_read, written, wants_quiet, _permit: permit }))
+        let whole = RefCell::default();
+        Socket(Rc::new(Inner { stream, read, most_read, written, whole, wants_quiet, _permit: permit }))
     }
 
     /// Bytes taken from the kernel so far.
@@ -129,10 +144,19 @@
     }
 
     /// A new exchange begins: nothing may have come before its first byte is written, and its answer may
-    /// have so many bytes.
-    pub fn begin(&self, most_read: usize) {
+    /// have so many bytes. Once its request, of so many bytes at the least, is written, that is counted.
+    pub fn begin(&self, most_read: usize, request: usize, stats: &Rc<Stats>) {
         self.0.wants_quiet.set(true);
         self.0.most_read.set(self.read().saturating_add(most_read));
+        *self.0.whole.borrow_mut() = Some((self.written() + request, stats.clone()));
+    }
+
+    fn note_written(&self, count: usize) {
+        self.0.written.set(self.written() + count);
+        let mut whole = self.0.whole.borrow_mut();
+        if let Some((_, stats)) = whole.take_if(|(at, _)| self.written() >= *at) {
+            stats.attempt_written();
+        }
     }
 
     /// True if the peer has neither closed nor sent anything that is still unread. Asks the kernel: what the
@@ -187,7 +211,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(count) => {
-                    self.0.written.set(self.0.written.get() + count);
+                    self.note_written(count);
                     return Poll::Ready(Ok(count));
                 }
             }
@@ -228,13 +252,14 @@
     /// Guards against either side starving the other.
     #[test]
     fn clients_leave_room_for_upstreams_and_all_leave_room_for_discovery() {
-        let budget = Budget::new(256);
+        let budget = Budget::new(256, true);
         let take_all = |purpose| std::iter::from_fn(|| budget.take(purpose)).collect::<Vec<_>>();
         let clients = take_all(Purpose::Client);
         let upstreams = take_all(Purpose::Upstream);
         assert!(upstreams.len() > 256 / 3 && clients.len() > 256 / 3);
         assert!(budget.take(Purpose::Client).is_none());
         assert!(!take_all(Purpose::Refusal).is_empty() && budget.take(Purpose::Discovery).is_some());
+        assert_eq!(take_all(Purpose::Console).len(), CONSOLE);
         drop(clients);
         assert!(!take_all(Purpose::Upstream).is_empty());
     }
--- /dev/null
+++ b/src/bin/magpiechute/stats.rs
@@ -0,0 +1,127 @@
+//! The figures that operators read. Each request that ends is counted here, once.
+
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+use std::rc::Rc;
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Served,
+    Refused,
+    Failed,
+}
+
+/// The requests of one class that have ended, by their endings.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ended {
+    served: u64,
+    refused: u64,
+    failed: u64,
+}
+
+/// Counts from the start of the process.
+#[derive(Debug)]
+pub struct Stats {
+    /// Names of the classes, and what has ended of each.
+    classes: RefCell<Vec<(String, Ended)>>,
+    attempts: Cell<u64>,
+    in_flight: Cell<u64>,
+}
+
+impl Stats {
+    pub fn new(classes: &[String]) -> Rc<Self> {
+        let classes = classes.iter().map(|name| (name.clone(), Ended::default())).collect();
+        Rc::new(Stats { classes: RefCell::new(classes), attempts: Cell::new(0), in_flight: Cell::new(0) })
+    }
+
+    /// A request of this class has been taken.
+    pub fn take(self: &Rc<Self>, class: usize) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight { stats: self.clone(), class, open: Cell::new(true) }
+    }
+
+    /// The last byte of an attempt has been written.
+    pub fn attempt_written(&self) {
+        self.attempts.set(self.attempts.get() + 1);
+    }
+
+    /// All figures, a line each, in the form that statsd reads.
+    pub fn render(&self, known: usize, excluded: usize) -> String {
+        let mut text = String::new();
+        let mut figure = |name: &str, value: u64, kind: char| {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "balancer.{name}:{value}|{kind}");
+        };
+        for (class, ended) in self.classes.borrow().iter() {
+            figure(&format!("served.{class}"), ended.served, 'c');
+            figure(&format!("refused.{class}"), ended.refused, 'c');
+            figure(&format!("failed.{class}"), ended.failed, 'c');
+        }
+        figure("attempts", self.attempts.get(), 'c');
+        figure("in_flight", self.in_flight.get(), 'g');
+        figure("upstreams_known", known as u64, 'g');
+        figure("upstreams_excluded", excluded as u64, 'g');
+        text
+    }
+}
+
+/// A request that has been taken and has not ended. If it is dropped before it ended, its client has left, and it
+/// is counted under no ending.
+#[derive(Debug)]
+pub struct InFlight {
+    stats: Rc<Stats>,
+    class: usize,
+    open: Cell<bool>,
+}
+
+impl InFlight {
+    /// It has ended; only the first ending counts.
+    pub fn end(&self, ending: Ending) {
+        if !self.open.replace(false) {
+            return;
+        }
+        self.stats.in_flight.set(self.stats.in_flight.get() - 1);
+        if let Some((_, ended)) = self.stats.classes.borrow_mut().get_mut(self.class) {
+            match ending {
+                Ending::Served => ended.served += 1,
+                Ending::Refused => ended.refused += 1,
+                Ending::Failed => ended.failed += 1,
+            }
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if self.open.get() {
+            self.stats.in_flight.set(self.stats.in_flight.get() - 1);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_ending_counts_once_and_a_client_that_left_under_none() {
+        let stats = Stats::new(&["a".into(), "b".into()]);
+        let (one, two, three, gone) = (stats.take(0), stats.take(1), stats.take(1), stats.take(1));
+        one.end(Ending::Served);
+        one.end(Ending::Failed);
+        two.end(Ending::Refused);
+        stats.attempt_written();
+        drop((one, gone));
+        let text = stats.render(7, 2);
+        let expected = "balancer.served.a:1|c\nbalancer.refused.a:0|c\nbalancer.failed.a:0|c\n\
+            balancer.served.b:0|c\nbalancer.refused.b:1|c\nbalancer.failed.b:0|c\n\
+            balancer.attempts:1|c\nbalancer.in_flight:1|g\nbalancer.upstreams_known:7|g\n\
+            balancer.upstreams_excluded:2|g\n";
+        assert_eq!(text, expected);
+        three.end(Ending::Failed);
+        assert!(stats
+            .render(0, 0)
+            .contains("balancer.failed.b:1|c\nbalancer.attempts:1|c\nbalancer.in_flight:0|g"));
+    }
+}
--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -1,6 +1,7 @@
 //! Attempts at upstreams, and the idle connections that they leave behind.
 
 use crate::socket::{Budget, Purpose, Socket};
+use crate::stats::Stats;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
@@ -83,15 +84,17 @@
 pub struct Pool {
     places: RefCell<HashMap<UpstreamId, Place>>,
     budget: Rc<Budget>,
+    stats: Rc<Stats>,
     connect_timeout: Duration,
     keep: Duration,
 }
 
 impl Pool {
-    pub fn new(budget: Rc<Budget>, connect_timeout: f64, idle_timeout: f64) -> Self {
+    pub fn new(budget: Rc<Budget>, stats: Rc<Stats>, connect_timeout: f64, idle_timeout: f64) -> Self {
         Pool {
             places: RefCell::default(),
             budget,
+            stats,
             connect_timeout: Duration::from_secs_f64(connect_timeout.min(60.0)),
             keep: Duration::from_secs_f64((idle_timeout * (1.0 - MARGIN)).min(3600.0)),
         }
@@ -205,6 +208,7 @@
             let whole = length(&request);
             let (written, read) = (socket.written(), socket.read());
             self.begun.set(Some(idle));
+            socket.begin(LARGEST_ANSWER, whole, &self.pool.stats);
             let ended = timeout_at(self.until, exchange(&socket, request)).await;
             let handed_over = socket.written() - written >= whole;
             return match ended {
@@ -258,7 +262,6 @@
 /// bytes behind an answer that stay in its buffer, and would be the next answer's beginning: only a socket
 /// from which nothing more has come is used again.
 async fn exchange(socket: &Socket, request: Request<Full<Bytes>>) -> hyper::Result<(Ended, bool)> {
-    socket.begin(LARGEST_ANSWER);
     let mut http = http1::Builder::new();
     let (mut sender, mut connection) = http.max_buf_size(LARGEST_HEAD).handshake(socket.clone()).await?;
     let spoilt = Ok((Err(Outcome::Spoilt), false));
--- /dev/null
+++ b/tests/console.rs
@@ -0,0 +1,138 @@
+//! The operators' door of the real program.
+
+mod peers;
+use peers::*;
+use std::thread::sleep;
+use std::time::Duration;
+
+const ID: &str = "Request-Id: {id}\r\n";
+
+/// Waits until this holds; whatever it waits for has to come.
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begin = std::time::Instant::now();
+    while !holds() {
+        assert!(begin.elapsed() < PATIENCE, "{what}");
+        sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn operators_are_answered_beside_callers_that_never_finish_their_call() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let half = "POST /healthcheck/fail HTTP/1.1\r\nHost: c";
+    let mut slow: Vec<_> = (0..60).map(|_| program.operator()).collect();
+    slow.iter_mut().step_by(2).for_each(|caller| caller.write(half));
+    assert_eq!(program.call("GET /healthcheck").0, 200);
+    assert_eq!(program.call("GET /stats").0, 200);
+    // None is kept for ever, and none of them has said anything.
+    slow.iter_mut().for_each(|caller| assert!(caller.is_closed()));
+    assert_eq!(program.client().ask("/healthz", "", "").status(), 200);
+}
+
+#[test]
+fn operators_are_answered_when_clients_hold_every_descriptor() {
+    let upstream = Upstream::start(Reply::Silent);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let clients: Vec<_> = (0..300).map(|_| program.client()).collect();
+    assert_eq!(program.call("GET /healthcheck").0, 200);
+    drop(clients);
+}
+
+#[test]
+fn what_is_no_call_is_told_so_and_changes_nothing() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let cases = [
+        ("GET / HTTP/1.1\r\nHost: c\r\n\r\n".to_string(), 404),
+        ("GET /healthcheck/fail HTTP/1.1\r\nHost: c\r\n\r\n".into(), 405),
+        ("POST /stats HTTP/1.1\r\nHost: c\r\n\r\n".into(), 405),
+        ("POST /healthcheck/fail HTTP/1.1\r\nHost: c\r\nContent-Length: 9999\r\n\r\n".into(), 413),
+        (
+            "POST /healthcheck/fail HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".into(),
+            400,
+        ),
+        ("nonsense\r\n\r\n".into(), 400),
+        (format!("POST /healthcheck/fail HTTP/1.1\r\nNews: {}", "x".repeat(20_000)), 431),
+    ];
+    for (text, status) in cases {
+        let mut operator = program.operator();
+        operator.write(&text);
+        assert_eq!(operator.receive().unwrap().map(|answer| answer.status()), Some(status), "{text:.99}");
+        assert!(operator.is_closed());
+    }
+    assert_eq!(program.client().ask("/healthz", "", "").status(), 200);
+}
+
+/// Guards against figures that count twice, or not at all: each ending stands under one count, and an attempt counts
+/// once it is written.
+#[test]
+fn figures_tell_how_requests_ended() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let mut client = program.client();
+    for _ in 0..3 {
+        assert_eq!(client.ask("/read", ID, "").status(), 200);
+    }
+    upstream.set(Reply::CutOff);
+    assert_eq!(client.ask("/pay", ID, "coins").status(), 502);
+    upstream.set(Reply::NotStarted);
+    assert_eq!(client.ask("/pay", ID, "coins").status(), 503);
+    upstream.set(Reply::Silent);
+    let mut leaving = program.client();
+    leaving.send("/pay", ID, "coins").unwrap();
+    until("the last attempt is written", || program.figure("attempts") == 6);
+    assert_eq!(program.figure("in_flight"), 1);
+    drop(leaving);
+    until("its client has left", || program.figure("in_flight") == 0);
+    // No proper request.
+    assert_eq!(client.ask("/pay", "", "coins").status(), 400);
+    let counts = [
+        ("served.read", 3),
+        ("served.pay", 0),
+        ("refused.pay", 1),
+        ("failed.pay", 1),
+        ("failed.read", 0),
+        ("upstreams_known", 1),
+    ];
+    for (name, count) in counts {
+        assert_eq!(program.figure(name), count, "{name}");
+    }
+}
+
+/// Guards against clients that stay with a drained balancer, and against losing what they have asked.
+#[test]
+fn a_drained_balancer_sends_its_clients_away_and_takes_them_back() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let (mut busy, mut idle) = (program.client(), program.client());
+    assert_eq!(busy.ask("/pay", ID, "coins").status(), 200);
+    assert_eq!(idle.ask("/pay", ID, "coins").status(), 200);
+    for _ in 0..2 {
+        assert_eq!(program.call("POST /healthcheck/fail").0, 200);
+    }
+    assert_eq!(program.call("GET /healthcheck").0, 503);
+    assert_eq!(program.client().ask("/healthz", "", "").status(), 503);
+    // It goes on serving what comes, and says that the connection ends.
+    let answer = busy.ask("/pay", ID, "coins");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(busy.is_closed() && idle.is_closed());
+    let mut late = program.client();
+    assert_eq!(late.ask("/pay", ID, "coins").status(), 200);
+    assert!(late.is_closed());
+    assert_eq!(program.call("POST /healthcheck/ok").0, 200);
+    assert_eq!(program.call("GET /healthcheck").0, 200);
+    let mut back = program.client();
+    for _ in 0..2 {
+        assert_eq!(back.ask("/healthz", "", "").status(), 200);
+        assert_eq!(back.ask("/pay", ID, "coins").status(), 200);
+    }
+}
+
+#[test]
+fn without_a_console_the_program_runs_as_before() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with(&[upstream.address]);
+    assert_eq!(program.console, None);
+    assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,4 +1,6 @@
 //! The real program, and small loopback peers for it: upstreams, discovery and a client.
+//! Each test file uses a part of them.
+#![allow(dead_code)]
 
 use socket2::{Domain, Socket, Type};
 use std::io::{self, BufRead, BufReader, Read, Write};
@@ -258,6 +260,8 @@
     child: Child,
     config: PathBuf,
     pub address: SocketAddr,
+    /// Where operators connect, if the configuration names an address for them.
+    pub console: Option<SocketAddr>,
 }
 
 static FILES: AtomicU64 = AtomicU64::new(0);
@@ -296,13 +300,46 @@
         let config = write_config(config);
         let mut child = spawn_with(variables, &config, listen);
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
+        let (mut line, mut console) = (String::new(), None);
+        let last = |line: &str| line.trim_end().rsplit(' ').next().unwrap().parse().unwrap();
         while !line.contains("listens on ") {
             line.clear();
             assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened");
+            if line.contains("operators' calls at ") {
+                console = Some(last(&line));
+            }
         }
-        let address = line.trim_end().rsplit(' ').next().unwrap().parse().unwrap();
-        Program { child, config, address }
+        Program { child, config, address: last(&line), console }
+    }
+
+    /// A program with a console and these upstreams.
+    pub fn with_console(upstreams: &[SocketAddr]) -> (Self, DiscoveryPeer) {
+        let discovery = DiscoveryPeer::start();
+        let entries = upstreams.iter().enumerate();
+        let entries: Vec<_> = entries.map(|(n, a)| endpoint(&format!("u{n}"), *a, "in_service")).collect();
+        let config = config(&list(5, true, &entries), discovery.address, 256);
+        (Self::start_with(&[("PROXY_CONSOLE", "127.0.0.1:0")], &config, "127.0.0.1:0"), discovery)
+    }
+
+    pub fn operator(&self) -> Client {
+        Client::connect(self.console.expect("a console")).unwrap()
+    }
+
+    /// An operator's call; its status and text.
+    pub fn call(&self, call: &str) -> (u16, String) {
+        let mut operator = self.operator();
+        operator.write(&format!("{call} HTTP/1.1\r\nHost: console\r\n\r\n"));
+        let answer = operator.receive().unwrap().expect("an answer");
+        assert!(operator.is_closed(), "one call to a connection");
+        (answer.status(), String::from_utf8(answer.body).unwrap())
+    }
+
+    /// The figure of this name.
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = self.call("GET /stats").1;
+        let line = text.lines().find_map(|line| line.strip_prefix(&format!("balancer.{name}:")));
+        line.and_then(|line| line.split('|').next()?.parse().ok())
+            .unwrap_or_else(|| panic!("{name} in {text}"))
     }
 
     /// A program with these upstreams, named `u0`, `u1` and so on, and a discovery of its own.
