Leave an upstream out on the operators' word, and take it back as cold

Seen: with the console alone the calls on an upstream got 404, and nothing in the module could leave out what discovery lists. Now an event says so; it holds against the list until the one call that undoes it. What comes back counts as cold from then on unless the list tells of a later start.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -71,6 +71,8 @@
     calls: BTreeMap<RequestId, Call>,
     /// Calls that came while no upstream was listed.
     unplaced: VecDeque<RequestId>,
+    /// Upstreams that the operators have left out, and since when.
+    out: BTreeMap<UpstreamId, f64>,
     usual: Vec<Usual>,
     rates: Vec<Rate>,
     retries: f64,
@@ -94,6 +96,7 @@
             turns: Turns { pass: 1.0, ..Turns::default() },
             calls: BTreeMap::new(),
             unplaced: VecDeque::new(),
+            out: BTreeMap::new(),
             retries: 1.0,
             strain: 0.0,
             list_failures: 0,
@@ -107,6 +110,7 @@
         self.now = self.now.max(now);
         match event {
             Event::Upstreams(scope, entries) => self.on_list(scope, entries, actions),
+            Event::Maintenance { upstream, out } => self.on_maintenance(upstream, out, actions),
             Event::Request(request) => self.on_request(request, actions),
             Event::Started(id) => self.calls.get_mut(&id).into_iter().for_each(|c| c.concluded = true),
             Event::Outcome(end) => self.on_outcome(end, actions),
@@ -124,7 +128,7 @@
 
     /// Upstreams of the list that get no call of any class now, though the list would let them.
     pub fn excluded(&self) -> usize {
-        let avoided = |u: &&Upstream| (0..self.cfg.classes.len()).all(|class| !self.fit(u, class));
+        let avoided = |u: &&Upstream| u.out || (0..self.cfg.classes.len()).all(|class| !self.fit(u, class));
         let on = self.upstreams.values().filter(|u| u.entry.state == UpstreamState::On);
         on.filter(avoided).count()
     }
@@ -144,21 +148,49 @@
             self.upstreams.values_mut().for_each(|u| u.entry.state = UpstreamState::Off);
         }
         for entry in entries {
-            let health = || Health { heard: self.now, ..Health::default() };
-            let health = (0..=self.cfg.classes.len()).map(|_| health()).collect();
-            let fresh = Learned { width: 1.0, credit: self.rng.random(), health, ..Learned::default() };
+            let fresh = self.unlearned();
             let u = self.upstreams.entry(entry.id).or_insert_with(|| Upstream::new(entry.clone()));
             // A restarted process: nothing learned of the old one holds, but what is in flight there
             // still frees its slots by its own outcomes.
             if u.learned.width == 0.0 || u.entry.since != entry.since {
-                u.learned = fresh;
+                (u.learned, u.returned) = (fresh, 0.0);
             }
+            u.out = self.out.contains_key(&entry.id);
             u.entry = entry;
         }
+        self.relist(actions);
+    }
+
+    /// The operators' word goes before that of discovery, which may tell of a restart late or not at all:
+    /// what comes back counts as cold unless it is known to be warm.
+    fn on_maintenance(&mut self, upstream: UpstreamId, out: bool, actions: &mut Vec<Action>) {
+        let fresh = self.unlearned();
+        let left = match out {
+            true => *self.out.entry(upstream).or_insert(self.now),
+            false => self.out.remove(&upstream).unwrap_or(self.now),
+        };
+        let Some(u) = self.upstreams.get_mut(&upstream).filter(|u| u.out != out) else { return };
+        u.out = out;
+        if !out {
+            u.returned = if u.entry.since < left { self.now } else { 0.0 };
+            u.learned = fresh;
+        }
+        self.relist(actions);
+    }
+
+    /// What is thought of an upstream of which nothing is known.
+    fn unlearned(&mut self) -> Learned {
+        let health = || Health { heard: self.now, ..Health::default() };
+        let health = (0..=self.cfg.classes.len()).map(|_| health()).collect();
+        Learned { width: 1.0, credit: self.rng.random(), health, ..Learned::default() }
+    }
+
+    /// Another upstream may be used, or one no more.
+    fn relist(&mut self, actions: &mut Vec<Action>) {
         self.divide_fleet();
         // Calls held for an upstream that drains or went, or for any at all, find another place.
         let mut moving = std::mem::take(&mut self.unplaced);
-        for u in self.upstreams.values_mut().filter(|u| u.entry.state != UpstreamState::On) {
+        for u in self.upstreams.values_mut().filter(|u| !u.is_on()) {
             moving.append(&mut u.queue);
         }
         moving.into_iter().for_each(|id| self.place(id, actions));
@@ -168,7 +200,7 @@
     /// Guards against a limit that is void because callers outnumber it: each caller turns over an even
     /// subset of the fleet, of its own zone where crossing is priced, just large enough for whole slices.
     fn divide_fleet(&mut self) {
-        let on: Vec<_> = self.upstreams.values().filter(|u| u.entry.state == UpstreamState::On).collect();
+        let on: Vec<_> = self.upstreams.values().filter(|u| u.is_on()).collect();
         let (listed, peers) = (on.len(), self.cfg.peers_total);
         let few = FEW_CALLS * (self.cfg.tiers - self.cfg.tier) as f64;
         let size = ((few * listed as f64 / peers as f64).ceil() as usize).max(LEAST_HOME).min(listed);
@@ -285,7 +317,7 @@
     fn ready(&self, u: &Upstream, id: RequestId, panic: bool) -> bool {
         let busy = u.flights.len() as f64;
         let under = busy == 0.0 || busy + 1.0 <= self.turns.slice * u.learned.width;
-        let warm = u.learned.credit >= 1.0 || u.entry.warm_share(&self.cfg.rules, self.now) == 1.0;
+        let warm = u.learned.credit >= 1.0 || u.warm_share(&self.cfg.rules, self.now) == 1.0;
         let open = self.now >= u.learned.full_until && warm;
         under && open && (panic || self.fit(u, self.calls[&id].class)) && self.may_send(id, u)
     }
@@ -296,7 +328,7 @@
     fn credit_cold(&mut self) {
         for id in &self.turns.order[..self.turns.reach as usize] {
             let u = self.upstreams.get_mut(id).expect("listed");
-            let share = u.entry.warm_share(&self.cfg.rules, self.now);
+            let share = u.warm_share(&self.cfg.rules, self.now);
             u.learned.credit = (u.learned.credit + share / self.turns.reach).min(1.0);
         }
     }
@@ -339,7 +371,7 @@
     /// What the class's effect, the list and the limits allow.
     fn may_send(&self, id: RequestId, u: &Upstream) -> bool {
         let (call, limits) = (&self.calls[&id], &self.cfg.limits);
-        let open = u.entry.state == UpstreamState::On && !call.concluded;
+        let open = u.is_on() && !call.concluded;
         let tried = call.tries.iter().any(|t| t.to.id == u.entry.id);
         let spent = call.tries.len() >= limits.attempts as usize || (call.out() > 0 && !limits.duplicates);
         if !open || tried || spent || self.now >= call.deadline {
--- a/src/bin/magpiechute/console.rs
+++ b/src/bin/magpiechute/console.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -42,22 +43,26 @@
 
 /// What a call asks for.
 #[derive(Debug, PartialEq)]
-enum Call {
+enum Call<'a> {
     Ready,
     Stats,
+    /// Leave this upstream out, or use it again.
+    Maintain(&'a str, bool),
     /// Send clients away, or end that.
     SendAway(bool),
 }
 
-impl Call {
+impl<'a> Call<'a> {
     /// What stands at this path, and the method that it is asked for with.
-    fn at(path: &str) -> Option<(Method, Self)> {
+    fn at(path: &'a str) -> Option<(Method, Self)> {
         let parts: Vec<_> = path.strip_prefix('/')?.split('/').collect();
         Some(match parts[..] {
             ["healthcheck"] => (Method::GET, Call::Ready),
             ["stats"] => (Method::GET, Call::Stats),
             ["healthcheck", "fail"] => (Method::POST, Call::SendAway(true)),
             ["healthcheck", "ok"] => (Method::POST, Call::SendAway(false)),
+            ["upstreams", id, "maint"] => (Method::POST, Call::Maintain(id, true)),
+            ["upstreams", id, "ready"] => (Method::POST, Call::Maintain(id, false)),
             _ => return None,
         })
     }
@@ -153,6 +158,15 @@
                 self.server.send_away(away);
                 text(StatusCode::OK, "done")
             }
+            Call::Maintain(id, out) => {
+                let Ok(name) = percent_decode_str(id).decode_utf8() else {
+                    return text(StatusCode::BAD_REQUEST, "the id can't be read");
+                };
+                match self.driver.borrow_mut().maintain(&name, out) {
+                    true => text(StatusCode::OK, "done"),
+                    false => text(StatusCode::NOT_FOUND, "no such upstream"),
+                }
+            }
         }
     }
 }
@@ -172,6 +186,7 @@
 
     #[test]
     fn calls_are_known_by_their_paths() {
+        assert_eq!(Call::at("/upstreams/s-1/maint"), Some((Method::POST, Call::Maintain("s-1", true))));
         assert_eq!(Call::at("/healthcheck/ok"), Some((Method::POST, Call::SendAway(false))));
         for path in ["/", "stats", "/stats/", "/upstreams/s-1", "/upstreams//x", "/upstreams/a/b/maint"] {
             assert_eq!(Call::at(path), None, "{path}");
--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -17,7 +17,7 @@
 };
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime};
@@ -162,6 +162,8 @@
     recent: Recent,
     last_id: u64,
     targets: HashMap<UpstreamId, Target>,
+    /// The names of those that the operators have left out.
+    out: BTreeMap<UpstreamId, String>,
     index: u64,
     listed: bool,
     /// The watch that the list comes from.
@@ -222,6 +224,7 @@
                 recent: Recent::new(longest),
                 last_id: 0,
                 targets: HashMap::new(),
+                out: BTreeMap::new(),
                 index: 0,
                 listed: false,
                 watch: None,
@@ -356,7 +359,7 @@
             self.targets.values_mut().for_each(|target| target.state = UpstreamState::Off);
         }
         let entries = list.endpoints.into_iter().map(|endpoint| self.entry(endpoint)).collect();
-        for (id, _) in self.targets.iter().filter(|(_, target)| target.state != UpstreamState::On) {
+        for id in self.targets.keys().filter(|id| self.address(**id).is_none()) {
             self.pool.close(*id);
         }
         self.tell(Event::Upstreams(scope, entries));
@@ -376,7 +379,7 @@
         if self.targets.get(&id).is_some_and(|old| old.since != since) {
             self.pool.close(id);
         }
-        if state == UpstreamState::On {
+        if state == UpstreamState::On && !self.out.contains_key(&id) {
             self.pool.open(id, endpoint.address);
         }
         self.targets.insert(id, Target { name: endpoint.name, address: endpoint.address, since, state });
@@ -391,14 +394,39 @@
         }
     }
 
+    /// Where the upstream is, if it may have calls.
+    fn address(&self, upstream: UpstreamId) -> Option<SocketAddr> {
+        let target = self.targets.get(&upstream).filter(|target| target.state == UpstreamState::On)?;
+        (!self.out.contains_key(&upstream)).then_some(target.address)
+    }
+
+    /// The operators leave this upstream out, or use it again; false if none of this name is known.
+    pub fn maintain(&mut self, name: &str, out: bool) -> bool {
+        let upstream = UpstreamId::of(name);
+        let target = self.targets.get(&upstream);
+        if target.is_none() && !self.out.contains_key(&upstream) {
+            return false;
+        }
+        log::line(format!("{name}: {} by the operators", if out { "left out" } else { "used again" }));
+        if out {
+            self.out.insert(upstream, name.to_string());
+            self.pool.close(upstream);
+        } else {
+            self.out.remove(&upstream);
+            self.address(upstream).into_iter().for_each(|address| self.pool.open(upstream, address));
+        }
+        self.tell(Event::Maintenance { upstream, out });
+        self.stop_unbegun();
+        true
+    }
+
     /// Guards against a call that was decided before a drain was told and begins after it: what has not
     /// written its first byte to an upstream that is off is turned away here, in its stead.
     fn stop_unbegun(&mut self) {
         let mut stopped = Vec::new();
         for (id, open) in &self.open {
             for (number, out) in open.attempts.iter().enumerate() {
-                let off =
-                    self.targets.get(&out.upstream).is_none_or(|target| target.state != UpstreamState::On);
+                let off = self.address(out.upstream).is_none();
                 if off && out.task.is_some() && out.begun.get().is_none() {
                     stopped.push((*id, number));
                 }
@@ -444,16 +472,16 @@
 
     fn send(&mut self, id: RequestId, upstream: UpstreamId, timeout: Option<f64>) {
         let sent = Instant::now();
+        let address = self.address(upstream);
         let Some(open) = self.open.get_mut(&id) else { return };
         let number = open.attempts.len();
         let begun = Rc::new(Cell::new(None));
         open.attempts.push(Out { upstream, sent, begun: begun.clone(), task: None });
         let out = &mut open.attempts[number];
-        let target = self.targets.get(&upstream).filter(|target| target.state == UpstreamState::On);
-        let attempt = target.filter(|_| open.reply.is_some()).map(|target| Attempt {
+        let attempt = address.filter(|_| open.reply.is_some()).map(|address| Attempt {
             pool: self.pool.clone(),
             upstream,
-            address: target.address,
+            address,
             request: open.forward.clone(),
             until: timeout
                 .and_then(|t| sent.checked_add(Duration::try_from_secs_f64(t).unwrap_or_default()))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -137,6 +137,17 @@
     pub cold: f64,
 }
 
+impl Rules {
+    /// The share of its work that an upstream which started then can do at the least by now.
+    pub fn warm_share(&self, since: f64, now: f64) -> f64 {
+        let age = now - since;
+        if since <= 0.0 || age >= self.cold {
+            return 1.0;
+        }
+        self.start_capacity + (1.0 - self.start_capacity) * age.max(0.0) / self.cold
+    }
+}
+
 /// What things cost, in shares of the service, each times its rate.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Prices {
@@ -289,17 +300,6 @@
     pub since: f64,
 }
 
-impl UpstreamEntry {
-    /// The share of its work that it can do at the least by now, by the figures of the rules.
-    pub fn warm_share(&self, rules: &Rules, now: f64) -> f64 {
-        let age = now - self.since;
-        if self.since <= 0.0 || age >= rules.cold {
-            return 1.0;
-        }
-        rules.start_capacity + (1.0 - rules.start_capacity) * age.max(0.0) / rules.cold
-    }
-}
-
 /// What a list event holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
@@ -381,6 +381,14 @@
 pub enum Event {
     /// Discovery said something: what the entries stand for, and the entries.
     Upstreams(ListScope, Vec<UpstreamEntry>),
+    /// The operators say whether this upstream is to be left out. Their word holds until the next one, whatever
+    /// discovery lists meanwhile; the upstream may be restarted while it is out.
+    Maintenance {
+        /// Which upstream; it need not be listed now.
+        upstream: UpstreamId,
+        /// Leave it out, or use it again.
+        out: bool,
+    },
     /// A request came in.
     Request(Request),
     /// The answer to this request has begun to stream; it belongs to the client now.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a balancer keeps in mind: types and plain bookkeeping, no decisions.
 
-use crate::interface::{Outcome, RequestId, UpstreamEntry, UpstreamId};
+use crate::interface::{Outcome, RequestId, Rules, UpstreamEntry, UpstreamId, UpstreamState};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The turn over the upstreams, and how far it reaches.
@@ -49,6 +49,10 @@
 
 pub(crate) struct Upstream {
     pub(crate) entry: UpstreamEntry,
+    /// The operators have it left out.
+    pub(crate) out: bool,
+    /// When they put it back, if it may have been restarted since it was last known to start.
+    pub(crate) returned: f64,
     pub(crate) flights: Vec<Flight>,
     pub(crate) queue: VecDeque<RequestId>,
     /// When its next turn is, in turns taken.
@@ -177,7 +181,17 @@
 
 impl Upstream {
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
-        let (flights, queue, due, idle, learned) = Default::default();
-        Upstream { entry, flights, queue, due, idle, learned }
+        let (out, returned, flights, queue, due, idle, learned) = Default::default();
+        Upstream { entry, out, returned, flights, queue, due, idle, learned }
+    }
+
+    /// The list and the operators let it have calls.
+    pub(crate) fn is_on(&self) -> bool {
+        self.entry.state == UpstreamState::On && !self.out
+    }
+
+    /// The share of its work that it can do at the least by now.
+    pub(crate) fn warm_share(&self, rules: &Rules, now: f64) -> f64 {
+        rules.warm_share(self.entry.since.max(self.returned), now)
     }
 }
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -136,3 +136,51 @@
     assert_eq!(program.console, None);
     assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
 }
+
+/// Guards against calls to an upstream that is being worked on: the operators' word holds against the list, until the
+/// one call that takes it back.
+#[test]
+fn an_upstream_is_left_out_until_it_is_put_back() {
+    let (one, two) = (Upstream::start(Reply::Ok), Upstream::start(Reply::Ok));
+    let (program, discovery) = Program::with_console(&[one.address, two.address]);
+    let mut watch = discovery.next();
+    let mut client = program.client();
+    for _ in 0..10 {
+        assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
+    }
+    assert!(one.seen.try_iter().count() > 0 && two.seen.try_iter().count() > 0);
+    for _ in 0..2 {
+        assert_eq!(program.call("POST /upstreams/u0/maint").0, 200);
+    }
+    one.closed.recv_timeout(PATIENCE).expect("the idle connection to it is closed");
+    // Discovery lists it again, and again as in service.
+    watch.line(&list(6, true, &[endpoint("u1", two.address, "in_service")]));
+    until("it has gone from the list", || program.figure("upstreams_known") == 1);
+    let both = [endpoint("u0", one.address, "in_service"), endpoint("u1", two.address, "in_service")];
+    watch.line(&list(7, true, &both));
+    until("it is back on the list", || program.figure("upstreams_known") == 2);
+    assert_eq!(program.figure("upstreams_excluded"), 1);
+    for _ in 0..10 {
+        assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
+    }
+    assert_eq!((one.seen.try_iter().count(), two.seen.try_iter().count()), (0, 10));
+    assert_eq!(program.call("POST /upstreams/%750/ready").0, 200);
+    assert_eq!(program.figure("upstreams_excluded"), 0);
+    until("it is used again", || {
+        assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
+        one.seen.try_iter().count() > 0
+    });
+}
+
+#[test]
+fn an_upstream_that_nobody_knows_is_owed_a_no() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    for path in ["/upstreams/u7/maint", "/upstreams/u7/ready", "/upstreams//maint", "/upstreams/u%200/maint"]
+    {
+        assert_eq!(program.call(&format!("POST {path}")).0, 404, "{path}");
+    }
+    assert_eq!(program.call("POST /upstreams/%ff/maint").0, 400);
+    assert_eq!(program.figure("upstreams_excluded"), 0);
+    assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -116,6 +116,59 @@
     assert_eq!(sends(&rig.on(request(1, 0, 2.0))), [(1, 2)]);
 }
 
+/// Guards against calls to an upstream that operators work on: their word goes before that of discovery.
+#[test]
+fn an_upstream_in_maintenance_gets_nothing_whatever_is_listed() {
+    let maintain = |upstream, out| Event::Maintenance { upstream: UpstreamId(upstream), out };
+    let mut rig = Rig::with_classes(&[Effect::Safe], 2);
+    rig.fill(1, 0);
+    let held = rig.load().0 as u64;
+    // What waits there moves; what is out ends by itself.
+    assert!(sends(&rig.on(maintain(1, true))).is_empty());
+    rig.on(maintain(1, true));
+    let relisted = UpstreamEntry { since: 90.0, ..entry(1) };
+    rig.list(ListScope::Full, vec![relisted.clone(), entry(2)]);
+    rig.list(ListScope::Delta, vec![UpstreamEntry { state: UpstreamState::Off, ..relisted }]);
+    rig.list(ListScope::Delta, vec![entry(1)]);
+    for id in 1..=held {
+        let woken = sends(&rig.on(end(id, 0, Outcome::Ok)));
+        assert!(woken.iter().all(|(_, to)| *to == 2), "{woken:?}");
+    }
+    let later: Vec<_> = (50..60).flat_map(|id| sends(&rig.on(request(id, 0, 2.0)))).collect();
+    assert!(!later.is_empty() && later.iter().all(|(_, to)| *to == 2), "{later:?}");
+    assert_eq!(rig.balancer.excluded(), 1);
+    rig.on(maintain(1, false));
+    assert_eq!(rig.balancer.excluded(), 0);
+    // Unknown ones are no trouble.
+    rig.on(maintain(77, false));
+}
+
+/// Guards against pushing over an upstream that was restarted while it was out: what is not known to be warm is cold.
+#[test]
+fn an_upstream_put_back_is_spared_like_one_that_has_just_started() {
+    let shares = |restarted: Option<f64>, known_before: bool| {
+        let mut rig = Rig::with_classes(&[Effect::Safe], 3);
+        rig.on(Event::Maintenance { upstream: UpstreamId(1), out: true });
+        let news = UpstreamEntry { since: restarted.unwrap_or(0.0), ..entry(1) };
+        rig.now += 5.0;
+        let list = |rig: &mut Rig| rig.list(ListScope::Delta, vec![news.clone()]);
+        known_before.then(|| list(&mut rig));
+        rig.on(Event::Maintenance { upstream: UpstreamId(1), out: false });
+        (!known_before).then(|| list(&mut rig));
+        let calls = (1..=300).map(|id| {
+            let to = sends(&rig.on(request(id, 0, 2.0)))[0].1;
+            rig.on(end(id, 0, Outcome::Ok));
+            to
+        });
+        calls.filter(|to| *to == 1).count()
+    };
+    for (restarted, known_before) in [(None, true), (None, false), (Some(104.0), true), (Some(104.0), false)]
+    {
+        let count = shares(restarted, known_before);
+        assert!((15..=50).contains(&count), "{count} of 300 for {restarted:?}, {known_before}");
+    }
+}
+
 #[test]
 fn calls_held_for_a_drained_upstream_move() {
     let mut rig = Rig::with_classes(&[Effect::Unsafe], 1);
