Use an upstream that operators put back, also one beyond the caller's reach

The log shows it taken back at 19.3 s at four balancers; three used it.

Ruled out: its coldness (57 calls came to that balancer in 5 s, ten give it a turn) and a rest (what is put back has none). At fault is `divide_fleet` with `reach`: a caller turns over part of the fleet, and that part shrinks while little comes, so an upstream used before may lie beyond it. It now has one call as soon as its warm share allows. The same holds where discovery forgot it while it was out.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -71,8 +71,10 @@
     calls: BTreeMap<RequestId, Call>,
     /// Calls that came while no upstream was listed.
     unplaced: VecDeque<RequestId>,
-    /// Upstreams that the operators have left out, and since when.
-    out: BTreeMap<UpstreamId, f64>,
+    /// Upstreams that the operators have left out: since when, and whether they had calls before.
+    out: BTreeMap<UpstreamId, (f64, bool)>,
+    /// Those put back that had calls before, and have had none since.
+    back: Vec<UpstreamId>,
     usual: Vec<Usual>,
     rates: Vec<Rate>,
     retries: f64,
@@ -97,6 +99,7 @@
             calls: BTreeMap::new(),
             unplaced: VecDeque::new(),
             out: BTreeMap::new(),
+            back: Vec::new(),
             retries: 1.0,
             strain: 0.0,
             list_failures: 0,
@@ -165,10 +168,15 @@
     /// what comes back counts as cold unless it is known to be warm.
     fn on_maintenance(&mut self, upstream: UpstreamId, out: bool, actions: &mut Vec<Action>) {
         let fresh = self.unlearned();
-        let left = match out {
-            true => *self.out.entry(upstream).or_insert(self.now),
-            false => self.out.remove(&upstream).unwrap_or(self.now),
+        // One that is not listed now was used for all that is known here.
+        let used = self.upstreams.get(&upstream).is_none_or(|u| u.used);
+        let known = match out {
+            true => Some(*self.out.entry(upstream).or_insert((self.now, used))),
+            false => self.out.remove(&upstream),
         };
+        let Some((left, used)) = known else { return };
+        self.back.retain(|back| *back != upstream);
+        self.back.extend((used && !out).then_some(upstream));
         let Some(u) = self.upstreams.get_mut(&upstream).filter(|u| u.out != out) else { return };
         u.out = out;
         if !out {
@@ -271,10 +279,14 @@
         }
     }
 
-    /// The round-robin turn, among the upstreams within reach that are ready for this call.
+    /// The round-robin turn, among the upstreams within reach that are ready for this call. One that the
+    /// operators have put back goes first, once. Guards against one that they see idle because the caller has
+    /// gone back to fewer upstreams meanwhile.
     fn take_turn(&self, id: RequestId) -> Option<UpstreamId> {
         let panic = self.panic(self.calls[&id].class);
-        self.first_due(|u| self.ready(u, id, panic).then_some(self.excess(id)))
+        let mut back = self.back.iter().filter_map(|back| self.upstreams.get(back));
+        let back = back.find(|u| self.ready(u, id, panic)).map(|u| u.entry.id);
+        back.or_else(|| self.first_due(|u| self.ready(u, id, panic).then_some(self.excess(id))))
     }
 
     /// Guards against leaving out so many for a class that the rest is pushed over, or that its calls are
@@ -326,8 +338,9 @@
     /// entitles each upstream within reach to an even part of a turn, a cold one to its warm share of it.
     /// None is saved up out of reach, lest many callers whose reach widens together spend it at once.
     fn credit_cold(&mut self) {
-        for id in &self.turns.order[..self.turns.reach as usize] {
-            let u = self.upstreams.get_mut(id).expect("listed");
+        let within = &self.turns.order[..self.turns.reach as usize];
+        for id in within.iter().chain(self.back.iter().filter(|back| !within.contains(back))) {
+            let Some(u) = self.upstreams.get_mut(id) else { continue };
             let share = u.warm_share(&self.cfg.rules, self.now);
             u.learned.credit = (u.learned.credit + share / self.turns.reach).min(1.0);
         }
@@ -401,6 +414,8 @@
         let idle = self.open_connection(upstream, actions);
         let call = self.calls.get_mut(&id).expect("a call being sent is known");
         let u = self.upstreams.get_mut(&upstream).expect("a chosen upstream is listed");
+        u.used = true;
+        self.back.retain(|back| *back != upstream);
         u.learned.credit = (u.learned.credit - 1.0).max(0.0);
         call.held_at = None;
         call.tries.push(Try { to: u.entry.clone(), sent, outcome: None });
