Let a second process take over under load, within one balancer's limits

`upgrade.rs` holds the link and the state. server.rs listens with SO_REUSEPORT and empties the kernel's queue before it closes; main.rs lets a new process listen only once it knows an upstream, and an old one that is replaced stops at SIGTERM. socket.rs lets the budget shrink and grow while it runs. An idle connection is no longer closed while a request on it is still unread.

--- a/src/bin/magpiechute/console.rs
+++ b/src/bin/magpiechute/console.rs
@@ -4,6 +4,7 @@
 use crate::log;
 use crate::server::Server;
 use crate::socket::{Budget, Purpose, Socket};
+use crate::upgrade::Upgrade;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -35,6 +36,7 @@
 pub struct Console {
     driver: Rc<RefCell<Driver>>,
     server: Rc<Server>,
+    upgrade: Rc<Upgrade>,
     budget: Rc<Budget>,
     /// Whoever has not asked yet, the one that has waited longest first.
     waiting: RefCell<BTreeMap<u64, Rc<Notify>>>,
@@ -69,8 +71,14 @@
 }
 
 impl Console {
-    pub fn new(driver: Rc<RefCell<Driver>>, server: Rc<Server>, budget: Rc<Budget>) -> Rc<Self> {
-        Rc::new(Console { driver, server, budget, waiting: RefCell::default(), accepted: Cell::new(0) })
+    pub fn new(
+        driver: Rc<RefCell<Driver>>,
+        server: Rc<Server>,
+        upgrade: Rc<Upgrade>,
+        budget: Rc<Budget>,
+    ) -> Rc<Self> {
+        let (waiting, accepted) = Default::default();
+        Rc::new(Console { driver, server, upgrade, budget, waiting, accepted })
     }
 
     /// Takes connections until dropped.
@@ -162,9 +170,16 @@
                 let Ok(name) = percent_decode_str(id).decode_utf8() else {
                     return text(StatusCode::BAD_REQUEST, "the id can't be read");
                 };
-                match self.driver.borrow_mut().maintain(&name, out) {
-                    true => text(StatusCode::OK, "done"),
-                    false => text(StatusCode::NOT_FOUND, "no such upstream"),
+                if !self.driver.borrow_mut().maintain(&name, out) {
+                    return text(StatusCode::NOT_FOUND, "no such upstream");
+                }
+                // Guards against a yes that an upgrade would undo.
+                match self.upgrade.save() {
+                    Ok(()) => text(StatusCode::OK, "done"),
+                    Err(error) => {
+                        log::line(format!("console: the state can't be kept: {error}"));
+                        text(StatusCode::INTERNAL_SERVER_ERROR, "done, but an upgrade would undo it")
+                    }
                 }
             }
         }
--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -17,7 +17,7 @@
 };
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime};
@@ -403,10 +403,29 @@
     /// The operators leave this upstream out, or use it again; false if none of this name is known.
     pub fn maintain(&mut self, name: &str, out: bool) -> bool {
         let upstream = UpstreamId::of(name);
-        let target = self.targets.get(&upstream);
-        if target.is_none() && !self.out.contains_key(&upstream) {
+        if !self.targets.contains_key(&upstream) && !self.out.contains_key(&upstream) {
             return false;
         }
+        self.set_out(name, out);
+        true
+    }
+
+    /// The names of the upstreams that the operators have left out.
+    pub fn left_out(&self) -> impl Iterator<Item = &str> {
+        self.out.values().map(String::as_str)
+    }
+
+    /// The operators have left these out, and no others, known or not.
+    pub fn leave_out(&mut self, names: &BTreeSet<String>) {
+        let back: Vec<_> = self.out.values().filter(|name| !names.contains(*name)).cloned().collect();
+        back.iter().for_each(|name| self.set_out(name, false));
+        let is_new = |name: &&String| !self.out.contains_key(&UpstreamId::of(name));
+        let new: Vec<_> = names.iter().filter(is_new).collect();
+        new.into_iter().for_each(|name| self.set_out(name, true));
+    }
+
+    fn set_out(&mut self, name: &str, out: bool) {
+        let upstream = UpstreamId::of(name);
         log::line(format!("{name}: {} by the operators", if out { "left out" } else { "used again" }));
         if out {
             self.out.insert(upstream, name.to_string());
@@ -417,7 +436,6 @@
         }
         self.tell(Event::Maintenance { upstream, out });
         self.stop_unbegun();
-        true
     }
 
     /// Guards against a call that was decided before a drain was told and begins after it: what has not
--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -8,6 +8,7 @@
 mod server;
 mod socket;
 mod stats;
+mod upgrade;
 mod upstream;
 
 use config::Config;
@@ -17,13 +18,16 @@
 use socket::Budget;
 use std::cell::RefCell;
 use std::error::Error;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
+use upgrade::Upgrade;
 
 /// After SIGTERM connections are still taken for this long: the front has yet to notice.
 const STILL_ACCEPT: Duration = Duration::from_millis(800);
@@ -35,6 +39,8 @@
 const SPARE: Duration = Duration::from_millis(100);
 /// What has been taken by then is settled within the longest deadline, and this much more.
 const SETTLE: Duration = Duration::from_secs(1);
+/// Whether the first list has come is looked up this often.
+const LOOK: Duration = Duration::from_millis(10);
 /// Idle connections are looked through this often.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -65,19 +71,21 @@
     // Guards against an end by SIGHUP before there is anything to load again.
     let mut hangup = signal(SignalKind::hangup())?;
     let config = Config::load()?;
-    let budget = Budget::new(config.sockets, config.console.is_some());
-    let (name, address, console) = (config.name.clone(), config.listen, config.console);
-    let longest = config.settings.classes.iter().fold(0.0, |longest: f64, c| longest.max(c.deadline));
-    let driver = Driver::start(config, budget.clone())?;
-    let listener = server::listen(address).map_err(|error| format!("listen on {address}: {error}"))?;
-    let console = console.map(|address| {
-        server::listen(address).map_err(|error| format!("listen on {address} for operators: {error}"))
+    let (name, address, sockets) = (config.name.clone(), config.listen, config.sockets);
+    let budget = Budget::new(sockets, config.console.is_some());
+    let console = config.console.map(|address| {
+        server::listen(address, false).map_err(|error| format!("listen on {address} for operators: {error}"))
     });
     let console = console.transpose()?;
-    if let Some(console) = &console {
-        log::line(format!("{name} takes operators' calls at {}", console.local_addr()?));
+    let longest = config.settings.classes.iter().fold(0.0, |longest: f64, c| longest.max(c.deadline));
+    let driver = Driver::start(config, budget.clone())?;
+    let server = Server::new(driver.clone(), budget.clone());
+    let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+    let upgrade = Upgrade::new(folder, address, driver.clone(), server.clone(), budget.clone(), sockets);
+    if let Some(listener) = console {
+        log::line(format!("{name} takes operators' calls at {}", listener.local_addr()?));
+        spawn_local(Console::new(driver.clone(), server.clone(), upgrade.clone(), budget).accept(listener));
     }
-    log::line(format!("{name} listens on {}", listener.local_addr()?));
     let pool = driver.borrow().pool().clone();
     spawn_local(async move {
         loop {
@@ -85,15 +93,29 @@
             pool.sweep();
         }
     });
-    let server = Server::new(driver.clone(), budget.clone());
-    if let Some(listener) = console {
-        spawn_local(Console::new(driver.clone(), server.clone(), budget).accept(listener));
-    }
+    let reloaded = driver.clone();
     spawn_local(async move {
         while hangup.recv().await.is_some() {
-            reload(&driver);
+            reload(&reloaded);
         }
     });
+    let ready = async {
+        // Guards against taking clients from an old process before they can be served.
+        let beside = upgrade.succeed().await;
+        while beside && !driver.borrow().is_ready() {
+            sleep(LOOK).await;
+        }
+    };
+    tokio::select! {
+        () = ready => {}
+        _ = terminate.recv() => return Ok(()),
+        _ = interrupt.recv() => return Ok(()),
+    }
+    let listener = server::listen(address, true).map_err(|error| format!("listen on {address}: {error}"))?;
+    let address = listener.local_addr()?;
+    server.open();
+    upgrade.settle(address);
+    log::line(format!("{name} listens on {address}"));
     tokio::select! {
         () = server.accept(&listener) => {}
         _ = terminate.recv() => {}
@@ -101,7 +123,7 @@
     }
     log::line(format!("{name} drains"));
     let longest = Duration::try_from_secs_f64(longest).unwrap_or_default();
-    drain(&server, listener, longest).await;
+    drain(&server, listener, upgrade.replaced(), longest).await;
     // What was taken is settled before its deadline; then its answer is written.
     let over = async {
         while server.connections() > 0 {
@@ -126,11 +148,19 @@
     }
 }
 
-/// Goes on accepting for a while, then until the kernel holds no more, and closes the listener.
-async fn drain(server: &std::rc::Rc<Server>, listener: TcpListener, longest: Duration) {
+/// Goes on accepting for a while, unless a new process takes the clients' connections, then until the kernel holds no
+/// more, and closes the listener.
+async fn drain(server: &Rc<Server>, listener: TcpListener, replaced: bool, longest: Duration) {
     server.drain(Instant::now() + longest.min(KILL_CAP) + KILL_EXTRA - SPARE);
-    // The end of the time is what is waited for.
-    let _ = timeout(STILL_ACCEPT, server.accept(&listener)).await;
-    let _ = timeout(Duration::ZERO, server.accept(&listener)).await;
+    if !replaced {
+        // The end of the time is what is waited for.
+        let _ = timeout(STILL_ACCEPT, server.accept(&listener)).await;
+    }
+    if let Err(error) = server.close(listener).await {
+        log::line(format!("close: {error}"));
+    }
+    if replaced {
+        sleep(STILL_ACCEPT).await;
+    }
     server.drain_fresh();
 }
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -134,6 +134,8 @@
     budget: Rc<Budget>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     accepted: Cell<u64>,
+    /// Clients' connections are taken.
+    listens: Cell<bool>,
     /// The process is to end: by then all that comes from now on has its answer.
     draining: Cell<Option<Instant>>,
     /// Clients are sent away; a number for each time that this began, none while they are welcome.
@@ -142,10 +144,12 @@
     stats: Rc<Stats>,
 }
 
-/// Listens; an address that a killed predecessor held can be taken at once.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Listens; an address that a killed predecessor held can be taken at once, and one that is `shared` beside a process
+/// that shares it as well.
+pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
+    socket.set_reuseport(shared)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
@@ -161,6 +165,7 @@
             stats,
             clients: RefCell::default(),
             accepted: Cell::new(0),
+            listens: Cell::new(false),
             draining: Cell::new(None),
         })
     }
@@ -215,7 +220,36 @@
 
     /// True while clients are to come here.
     pub fn is_ready(&self) -> bool {
-        self.driver.borrow().is_ready() && self.draining.get().is_none() && self.away.get().is_none()
+        let listens = self.listens.get() && self.draining.get().is_none();
+        listens && self.driver.borrow().is_ready() && self.away.get().is_none()
+    }
+
+    /// Clients' connections are taken from now on.
+    pub fn open(&self) {
+        self.listens.set(true);
+    }
+
+    /// Takes all connections that the kernel has taken for this listener, and closes it. Guards against those that
+    /// would be reset with it: what is there is asked of the kernel, as the event loop may know less.
+    pub async fn close(self: &Rc<Self>, listener: TcpListener) -> io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    self.admit(TcpStream::from_std(stream)?).await;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Closes what can be spared until the process holds no more than so many descriptors.
+    pub async fn make_room_down_to(&self, descriptors: usize) {
+        let pool = self.driver.borrow().pool().clone();
+        while self.budget.held() > descriptors && (pool.evict() || self.make_room().await) {}
     }
 
     /// Closes also the connections that are new, as nothing has come on them.
@@ -295,7 +329,13 @@
                 tokio::select! {
                     // A client that breaks off or sends nonsense has been told so by hyper.
                     _ = connection.as_mut() => break,
-                    () = client.close.notified() => connection.as_mut().graceful_shutdown(),
+                    () = client.close.notified() => {
+                        // Guards against closing on a request that has come and is still unread: its answer is
+                        // going to end the connection.
+                        if client.idle.get().is_none() || client.socket.is_quiet() {
+                            connection.as_mut().graceful_shutdown();
+                        }
+                    }
                     () = &mut stuck => break,
                     () = client.evicted.notified() => {
                         client.evicting.set(false);
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -44,29 +44,44 @@
     clients: Cell<usize>,
     others: Cell<usize>,
     console: Cell<usize>,
-    most: usize,
-    most_clients: usize,
+    most: Cell<usize>,
+    most_clients: Cell<usize>,
     most_console: usize,
 }
 
 impl Budget {
     pub fn new(descriptors: usize, console: bool) -> Rc<Self> {
+        let (clients, others, console_open, most, most_clients) = Default::default();
         let most_console = if console { CONSOLE } else { 0 };
-        let most = descriptors.saturating_sub(OTHER_FILES + most_console);
-        let shared = most.saturating_sub(DISCOVERY + REFUSALS) as f64;
-        let most_clients = (shared * (1.0 - UPSTREAM_PART)) as usize;
-        let (clients, others, console) = Default::default();
-        Rc::new(Budget { clients, others, console, most, most_clients, most_console })
+        let budget = Budget { clients, others, console: console_open, most, most_clients, most_console };
+        budget.limit(descriptors);
+        Rc::new(budget)
+    }
+
+    /// From now on the process may hold so many descriptors; what is open beyond that stays open.
+    pub fn limit(&self, descriptors: usize) {
+        self.most.set(descriptors.saturating_sub(OTHER_FILES + self.most_console));
+        let shared = self.most.get().saturating_sub(DISCOVERY + REFUSALS) as f64;
+        self.most_clients.set((shared * (1.0 - UPSTREAM_PART)) as usize);
+    }
+
+    /// Descriptors that the process holds now, with all that it keeps back.
+    pub fn held(&self) -> usize {
+        self.clients.get() + self.others.get() + OTHER_FILES + self.most_console
     }
 
     /// Room for one more, if there is.
     pub fn take(self: &Rc<Self>, purpose: Purpose) -> Option<Permit> {
         let (clients, open) = (self.clients.get(), self.clients.get() + self.others.get());
         let free = match purpose {
-            Purpose::Upstream => open + DISCOVERY + REFUSALS < self.most,
-            Purpose::Client => clients < self.most_clients && open + DISCOVERY + REFUSALS < self.most,
-            Purpose::Refusal => clients < self.most_clients + REFUSALS && open + DISCOVERY < self.most,
-            Purpose::Discovery => open < self.most,
+            Purpose::Upstream => open + DISCOVERY + REFUSALS < self.most.get(),
+            Purpose::Client => {
+                clients < self.most_clients.get() && open + DISCOVERY + REFUSALS < self.most.get()
+            }
+            Purpose::Refusal => {
+                clients < self.most_clients.get() + REFUSALS && open + DISCOVERY < self.most.get()
+            }
+            Purpose::Discovery => open < self.most.get(),
             Purpose::Console => self.console.get() < self.most_console,
         };
         free.then(|| {
@@ -260,6 +275,12 @@
         assert!(budget.take(Purpose::Client).is_none());
         assert!(!take_all(Purpose::Refusal).is_empty() && budget.take(Purpose::Discovery).is_some());
         assert_eq!(take_all(Purpose::Console).len(), CONSOLE);
+        assert!(budget.held() >= 250);
+        // A second process takes a half of them.
+        budget.limit(128);
+        drop((clients, upstreams));
+        let (clients, upstreams) = (take_all(Purpose::Client), take_all(Purpose::Upstream));
+        assert!(clients.len() > 30 && upstreams.len() > 30 && budget.held() <= 128);
         drop(clients);
         assert!(!take_all(Purpose::Upstream).is_empty());
     }
--- /dev/null
+++ b/src/bin/magpiechute/upgrade.rs
@@ -0,0 +1,236 @@
+//! A new process beside the old one: what the one leaves to the other, and how both keep to one balancer's limits.
+//!
+//! Both meet at a Unix socket in `$TMPDIR`, and what has to outlast a process is in a file beside it.
+
+use crate::driver::Driver;
+use crate::log;
+use crate::server::Server;
+use crate::socket::Budget;
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::unix::OwnedReadHalf;
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// The old process has made room by then, or is taken to hold its half.
+const ROOM: Duration = Duration::from_millis(500);
+/// After a failed accept the next try comes this much later.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
+
+/// What outlasts a process.
+#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
+struct State {
+    /// Whose it is: the address where clients connect.
+    balancer: String,
+    /// Upstreams that the operators have left out.
+    out: BTreeSet<String>,
+}
+
+/// What one process tells the other, a line each.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Line {
+    /// There is a new process: room, please.
+    Hello,
+    /// The old process holds so many descriptors at the most.
+    Holds(usize),
+    /// The new process takes clients' connections.
+    Ready,
+    /// The state has changed.
+    State,
+}
+
+/// The process's part in an upgrade.
+pub struct Upgrade {
+    /// `None` where there is no `$TMPDIR`: then nothing is kept, and nobody met.
+    folder: Option<PathBuf>,
+    address: Cell<SocketAddr>,
+    driver: Rc<RefCell<Driver>>,
+    server: Rc<Server>,
+    budget: Rc<Budget>,
+    /// The most descriptors of both processes together.
+    sockets: usize,
+    /// Where the other process hears of changes, if there is one.
+    other: RefCell<Option<UnboundedSender<Line>>>,
+    /// A new process takes the clients' connections.
+    replaced: Cell<bool>,
+}
+
+impl Upgrade {
+    pub fn new(
+        folder: Option<PathBuf>,
+        address: SocketAddr,
+        driver: Rc<RefCell<Driver>>,
+        server: Rc<Server>,
+        budget: Rc<Budget>,
+        sockets: usize,
+    ) -> Rc<Self> {
+        let (other, replaced) = Default::default();
+        let address = Cell::new(address);
+        Rc::new(Upgrade { folder, address, driver, server, budget, sockets, other, replaced })
+    }
+
+    /// True once a new process takes the clients' connections.
+    pub fn replaced(&self) -> bool {
+        self.replaced.get()
+    }
+
+    fn path(&self, kind: &str) -> Option<PathBuf> {
+        Some(self.folder.as_ref()?.join(format!("magpiechute-{}.{kind}", self.address.get())))
+    }
+
+    /// Writes down what has to outlast this process, and tells the other one.
+    pub fn save(&self) -> io::Result<()> {
+        let Some(path) = self.path("state") else { return Ok(()) };
+        let out = self.driver.borrow().left_out().map(str::to_string).collect();
+        State { balancer: self.address.get().to_string(), out }.write(&path)?;
+        self.tell(Line::State);
+        Ok(())
+    }
+
+    /// Does what the file says.
+    fn restore(&self) {
+        let Some(path) = self.path("state") else { return };
+        match State::read(&path, self.address.get()) {
+            Ok(state) => self.driver.borrow_mut().leave_out(&state.out),
+            Err(why) => log::line(format!("nothing is known of a process before: {why}")),
+        }
+    }
+
+    /// Takes over what a process before has left. If it still runs, this one has the descriptors that it can spare,
+    /// and is to listen only once it is ready; true in that case.
+    pub async fn succeed(self: &Rc<Self>) -> bool {
+        let Some(path) = self.path("sock") else { return false };
+        let old = UnixStream::connect(path).await;
+        if let Ok(old) = old {
+            log::line("another process runs beside this one".into());
+            // Until it has said what it holds.
+            self.budget.limit(self.sockets / 2);
+            let heard = Rc::new(Notify::new());
+            self.talk(old, heard.clone());
+            self.tell(Line::Hello);
+            if timeout(ROOM, heard.notified()).await.is_err() {
+                log::line("the other process does not say what it holds".into());
+            }
+        }
+        // Only now: what it changed until it heard of this process stands in the file, and what it changes after that
+        // is told.
+        self.restore();
+        self.other.borrow().is_some()
+    }
+
+    /// This process takes clients' connections at this address: tells the old one, and waits for a newer one.
+    pub fn settle(self: &Rc<Self>, address: SocketAddr) {
+        self.address.set(address);
+        self.tell(Line::Ready);
+        let Some(path) = self.path("sock") else { return };
+        match self.listen(&path) {
+            Ok(listener) => drop(spawn_local(self.clone().accept(listener))),
+            Err(error) => log::line(format!("no upgrade can follow: {}: {error}", path.display())),
+        }
+    }
+
+    /// Guards against a moment in which a new process finds nobody: the old socket is replaced in one step.
+    fn listen(&self, path: &Path) -> io::Result<UnixListener> {
+        let aside = path.with_extension(format!("{}", std::process::id()));
+        // One of that name is of a process that is gone.
+        let _ = std::fs::remove_file(&aside);
+        let listener = UnixListener::bind(&aside)?;
+        std::fs::rename(&aside, path)?;
+        Ok(listener)
+    }
+
+    async fn accept(self: Rc<Self>, listener: UnixListener) {
+        loop {
+            match listener.accept().await {
+                // One upgrade at a time: whoever comes beside it is on its own.
+                Ok((stream, _)) if self.other.borrow().is_none() => self.talk(stream, Rc::default()),
+                Ok(_) => {}
+                Err(_) => sleep(ACCEPT_AGAIN).await,
+            }
+        }
+    }
+
+    /// Hears the other process to its end; `heard` is told once it has said what it holds.
+    fn talk(self: &Rc<Self>, stream: UnixStream, heard: Rc<Notify>) {
+        let (input, mut output) = stream.into_split();
+        let (sender, mut lines) = unbounded_channel::<Line>();
+        *self.other.borrow_mut() = Some(sender);
+        spawn_local(async move {
+            while let Some(line) = lines.recv().await {
+                let Ok(mut text) = serde_json::to_vec(&line) else { continue };
+                text.push(b'\n');
+                // One that can't be told is gone, and so is the reading end.
+                let _ = output.write_all(&text).await;
+            }
+        });
+        let upgrade = self.clone();
+        spawn_local(async move {
+            upgrade.hear(input, &heard).await;
+            log::line("the other process has gone".into());
+            *upgrade.other.borrow_mut() = None;
+            upgrade.budget.limit(upgrade.sockets);
+            if upgrade.replaced.replace(false) {
+                // It was the new one: the next will look for this one.
+                upgrade.settle(upgrade.address.get());
+            }
+        });
+    }
+
+    async fn hear(self: &Rc<Self>, input: OwnedReadHalf, heard: &Notify) {
+        let mut lines = BufReader::new(input).lines();
+        while let Ok(Some(line)) = lines.next_line().await {
+            match serde_json::from_str(&line) {
+                Ok(Line::Hello) => {
+                    let share = self.sockets / 2;
+                    self.budget.limit(share);
+                    self.server.make_room_down_to(share).await;
+                    self.tell(Line::Holds(self.budget.held().max(share)));
+                }
+                Ok(Line::Holds(count)) => {
+                    self.budget.limit(self.sockets.saturating_sub(count));
+                    heard.notify_one();
+                }
+                Ok(Line::Ready) => self.replaced.set(true),
+                Ok(Line::State) => self.restore(),
+                Err(error) => return log::line(format!("the other process can't be understood: {error}")),
+            }
+        }
+    }
+
+    fn tell(&self, line: Line) {
+        if let Some(other) = self.other.borrow().as_ref() {
+            // The other process has gone: nobody needs to know.
+            let _ = other.send(line);
+        }
+    }
+}
+
+impl State {
+    /// Writes it aside and puts it in its place in one step.
+    fn write(&self, path: &Path) -> io::Result<()> {
+        let aside = path.with_extension("new");
+        std::fs::write(&aside, serde_json::to_vec(self)?)?;
+        std::fs::rename(aside, path)
+    }
+
+    fn read(path: &Path, address: SocketAddr) -> Result<Self, String> {
+        let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        let state: State =
+            serde_json::from_slice(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+        match state.balancer == address.to_string() {
+            true => Ok(state),
+            false => Err(format!("{} is of the balancer at {}", path.display(), state.balancer)),
+        }
+    }
+}
--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -132,7 +132,7 @@
     }
 
     /// Shuts the connection that has been idle for longest, if there is one.
-    fn evict(&self) -> bool {
+    pub fn evict(&self) -> bool {
         let mut places = self.places.borrow_mut();
         let oldest = places.values_mut().filter(|place| !place.idle.is_empty());
         let oldest = oldest.min_by_key(|place| place.idle[0].since);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -264,6 +264,15 @@
     pub console: Option<SocketAddr>,
 }
 
+/// A new folder for what programs of one test leave to each other.
+pub fn folder() -> PathBuf {
+    let number = FILES.fetch_add(1, Ordering::SeqCst);
+    // Sockets have short names.
+    let path = std::env::temp_dir().join(format!("magpiechute-{}-{number}", std::process::id()));
+    std::fs::create_dir(&path).unwrap();
+    path
+}
+
 static FILES: AtomicU64 = AtomicU64::new(0);
 
 /// Starts the program on a configuration, without waiting for it.
@@ -285,6 +294,8 @@
         .env("PROXY_LISTEN", listen)
         .env_remove("PROXY_DISCOVERY")
         .env_remove("PROXY_NAME")
+        // Programs that share it take each other for one balancer.
+        .env_remove("TMPDIR")
         .envs(variables.iter().copied())
         .stderr(Stdio::piped())
         .spawn()
@@ -374,6 +385,11 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    /// The descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,198 @@
+//! A new version of the real program beside the old one.
+
+mod peers;
+use peers::*;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+const ID: &str = "Request-Id: {id}\r\n";
+
+fn start(folder: &Path, config: &str, listen: &str) -> Program {
+    let variables = [("TMPDIR", folder.to_str().unwrap()), ("PROXY_CONSOLE", "127.0.0.1:0")];
+    Program::start_with(&variables, config, listen)
+}
+
+struct Rig {
+    folder: PathBuf,
+    upstream: Upstream,
+    discovery: DiscoveryPeer,
+}
+
+impl Rig {
+    fn new() -> Self {
+        Rig { folder: folder(), upstream: Upstream::start(Reply::Ok), discovery: DiscoveryPeer::start() }
+    }
+
+    fn start(&self, listen: &str) -> Program {
+        let known = list(5, true, &[endpoint("u0", self.upstream.address, "in_service")]);
+        start(&self.folder, &config(&known, self.discovery.address, 256), listen)
+    }
+
+    fn state(&self, address: SocketAddr) -> PathBuf {
+        self.folder.join(format!("magpiechute-{address}.state"))
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        // What it is for is over.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Guards against connections that are lost from one version to the next: clients that open one for each request
+/// never meet a closed door.
+#[test]
+fn clients_that_come_during_an_upgrade_are_all_served() {
+    let rig = Rig::new();
+    let mut old = rig.start("127.0.0.1:0");
+    let address = old.address;
+    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let clients: Vec<_> = (0..4)
+        .map(|_| {
+            let (stop, served) = (stop.clone(), served.clone());
+            thread::spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    let mut client = Client::connect(address).expect("somebody listens");
+                    assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
+                    served.fetch_add(1, Ordering::SeqCst);
+                }
+            })
+        })
+        .collect();
+    let more = |count: u64| {
+        let goal = served.load(Ordering::SeqCst) + count;
+        while served.load(Ordering::SeqCst) < goal {
+            assert!(!clients.iter().any(|client| client.is_finished()), "a client was turned away");
+            thread::sleep(Duration::from_millis(1));
+        }
+    };
+    more(20);
+    let new = rig.start(&address.to_string());
+    assert_eq!(new.address, address);
+    assert_eq!(new.call("GET /healthcheck").0, 200);
+    more(20);
+    old.terminate();
+    more(20);
+    assert!(old.wait().success());
+    more(20);
+    stop.store(true, Ordering::SeqCst);
+    for client in clients {
+        client.join().expect("no client was turned away");
+    }
+}
+
+/// Guards against an old version that takes new connections to its end, though a new one is there for them.
+#[test]
+fn a_replaced_process_stops_listening_and_finishes_what_it_has() {
+    let rig = Rig::new();
+    let mut old = rig.start("127.0.0.1:0");
+    rig.upstream.set(Reply::Silent);
+    let mut waiting = old.client();
+    waiting.send("/pay", &format!("{ID}Request-Timeout: 2.0\r\n"), "coins").unwrap();
+    rig.upstream.next();
+    let new = rig.start(&old.address.to_string());
+    rig.upstream.set(Reply::Ok);
+    old.terminate();
+    // Its answer comes, and the process ends after that.
+    assert_eq!(waiting.receive().unwrap().unwrap().status(), 502);
+    assert!(old.wait().success());
+    for _ in 0..10 {
+        assert_eq!(new.client().ask("/pay", ID, "coins").status(), 200);
+    }
+}
+
+/// Guards against an operator's word that an upgrade forgets, or that only one of two processes hears.
+#[test]
+fn what_operators_left_out_stays_out_over_an_upgrade() {
+    let rig = Rig::new();
+    let old = rig.start("127.0.0.1:0");
+    assert_eq!(old.call("POST /upstreams/u0/maint").0, 200);
+    let new = rig.start(&old.address.to_string());
+    assert_eq!(new.figure("upstreams_excluded"), 1);
+    assert_eq!(new.call("POST /upstreams/u0/ready").0, 200);
+    let both = |count| {
+        while [&old, &new].iter().any(|program| program.figure("upstreams_excluded") != count) {
+            thread::sleep(Duration::from_millis(1));
+        }
+    };
+    both(0);
+    assert_eq!(old.call("POST /upstreams/u0/maint").0, 200);
+    both(1);
+    drop(old);
+    // Nor does the process after the next forget it.
+    let newest = rig.start(&new.address.to_string());
+    assert_eq!(newest.figure("upstreams_excluded"), 1);
+}
+
+/// Guards against clients that a new process takes before it knows any upstream.
+#[test]
+fn a_new_process_takes_clients_only_once_it_knows_an_upstream() {
+    let rig = Rig::new();
+    let old = rig.start("127.0.0.1:0");
+    let address = old.address.to_string();
+    let mut watch = rig.discovery.next();
+    watch.line("");
+    let (folder, ignorant) = (&rig.folder, config(&list(0, true, &[]), rig.discovery.address, 256));
+    thread::scope(|scope| {
+        let new = scope.spawn(move || start(folder, &ignorant, &address));
+        let mut watch = rig.discovery.next();
+        for _ in 0..20 {
+            assert_eq!(old.client().ask("/pay", ID, "coins").status(), 200);
+        }
+        assert!(!new.is_finished(), "it listens without an upstream");
+        watch.line(&list(6, true, &[endpoint("u0", rig.upstream.address, "in_service")]));
+        let new = new.join().unwrap();
+        assert_eq!(new.call("GET /healthcheck").0, 200);
+    });
+}
+
+/// Guards against two processes that together hold more than one may.
+#[test]
+fn both_processes_share_one_balancer_s_descriptors() {
+    let rig = Rig::new();
+    let old = rig.start("127.0.0.1:0");
+    let idle: Vec<_> = (0..120).map(|_| old.client()).collect();
+    assert_eq!(old.call("GET /healthcheck").0, 200);
+    let new = rig.start(&old.address.to_string());
+    let more: Vec<_> = (0..250).map(|_| new.client()).collect();
+    for program in [&old, &new] {
+        assert_eq!(program.call("GET /healthcheck").0, 200);
+    }
+    let held = old.descriptors() + new.descriptors();
+    assert!(held <= 256, "{held}");
+    drop((idle, more));
+}
+
+#[test]
+fn a_torn_or_foreign_state_is_passed_over() {
+    let rig = Rig::new();
+    let old = rig.start("127.0.0.1:0");
+    let address = old.address;
+    assert_eq!(old.call("POST /upstreams/u0/maint").0, 200);
+    drop(old);
+    let text = std::fs::read(rig.state(address)).unwrap();
+    let foreign = String::from_utf8(text.clone()).unwrap().replace(&address.to_string(), "127.0.0.9:1");
+    for (state, excluded) in
+        [(&text[..], 1), (&text[..text.len() - 1], 0), (foreign.as_bytes(), 0), (&b"\xff\x00"[..], 0)]
+    {
+        std::fs::write(rig.state(address), state).unwrap();
+        let program = rig.start(&address.to_string());
+        assert_eq!(program.figure("upstreams_excluded"), excluded);
+        assert_eq!(program.call("GET /healthcheck").0, 200);
+    }
+}
+
+/// Guards against a yes that an upgrade would undo.
+#[test]
+fn a_state_that_cannot_be_kept_is_owed_a_no() {
+    let rig = Rig::new();
+    let program = rig.start("127.0.0.1:0");
+    std::fs::create_dir(Path::new(&rig.state(program.address)).with_extension("new")).unwrap();
+    assert_eq!(program.call("POST /upstreams/u0/maint").0, 500);
+    assert_eq!(program.client().ask("/pay", &format!("{ID}Request-Timeout: 1.0\r\n"), "coins").status(), 503);
+}
