Give every upstream that operators put back one call, used before or not

Watched: every balancer that had a request after the call used its upstream within 0.1 to 2.3 s. The one left is at a balancer whose own server drains just then, so that no request came to it after the call: no balancer can help there.

What was remembered of use before is taken out: it was lost whenever the list forgot an upstream, and a new process never had it. In its place one call goes to each that is put back. For one beyond reach each call that comes counts as one over the whole list, so that many callers do not push a cold one over.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -71,9 +71,9 @@
     calls: BTreeMap<RequestId, Call>,
     /// Calls that came while no upstream was listed.
     unplaced: VecDeque<RequestId>,
-    /// Upstreams that the operators have left out: since when, and whether they had calls before.
-    out: BTreeMap<UpstreamId, (f64, bool)>,
-    /// Those put back that had calls before, and have had none since.
+    /// Upstreams that the operators have left out, and since when.
+    out: BTreeMap<UpstreamId, f64>,
+    /// Those put back that have had no call since.
     back: Vec<UpstreamId>,
     usual: Vec<Usual>,
     rates: Vec<Rate>,
@@ -168,15 +168,13 @@
     /// what comes back counts as cold unless it is known to be warm.
     fn on_maintenance(&mut self, upstream: UpstreamId, out: bool, actions: &mut Vec<Action>) {
         let fresh = self.unlearned();
-        // One that is not listed now was used for all that is known here.
-        let used = self.upstreams.get(&upstream).is_none_or(|u| u.used);
         let known = match out {
-            true => Some(*self.out.entry(upstream).or_insert((self.now, used))),
+            true => Some(*self.out.entry(upstream).or_insert(self.now)),
             false => self.out.remove(&upstream),
         };
-        let Some((left, used)) = known else { return };
+        let Some(left) = known else { return };
         self.back.retain(|back| *back != upstream);
-        self.back.extend((used && !out).then_some(upstream));
+        self.back.extend((!out).then_some(upstream));
         let Some(u) = self.upstreams.get_mut(&upstream).filter(|u| u.out != out) else { return };
         u.out = out;
         if !out {
@@ -336,13 +334,16 @@
 
     /// Guards against pushing over a cold upstream, also when the others are down: each call that comes
     /// entitles each upstream within reach to an even part of a turn, a cold one to its warm share of it.
-    /// None is saved up out of reach, lest many callers whose reach widens together spend it at once.
+    /// None is saved up out of reach, lest many callers whose reach widens together spend it at once; but for
+    /// one that operators have put back, for which each call counts as one over the whole list.
     fn credit_cold(&mut self) {
-        let within = &self.turns.order[..self.turns.reach as usize];
-        for id in within.iter().chain(self.back.iter().filter(|back| !within.contains(back))) {
-            let Some(u) = self.upstreams.get_mut(id) else { continue };
+        let (within, beyond) = self.turns.order.split_at(self.turns.reach as usize);
+        let back =
+            beyond.iter().filter(|id| self.back.contains(id)).map(|id| (id, self.turns.order.len() as f64));
+        for (id, among) in within.iter().map(|id| (id, self.turns.reach)).chain(back) {
+            let u = self.upstreams.get_mut(id).expect("listed");
             let share = u.warm_share(&self.cfg.rules, self.now);
-            u.learned.credit = (u.learned.credit + share / self.turns.reach).min(1.0);
+            u.learned.credit = (u.learned.credit + share / among).min(1.0);
         }
     }
 
@@ -414,7 +415,6 @@
         let idle = self.open_connection(upstream, actions);
         let call = self.calls.get_mut(&id).expect("a call being sent is known");
         let u = self.upstreams.get_mut(&upstream).expect("a chosen upstream is listed");
-        u.used = true;
         self.back.retain(|back| *back != upstream);
         u.learned.credit = (u.learned.credit - 1.0).max(0.0);
         call.held_at = None;
--- a/src/state.rs
+++ b/src/state.rs
@@ -51,8 +51,6 @@
     pub(crate) entry: UpstreamEntry,
     /// The operators have it left out.
     pub(crate) out: bool,
-    /// It has had a call.
-    pub(crate) used: bool,
     /// When they put it back, if it may have been restarted since it was last known to start.
     pub(crate) returned: f64,
     pub(crate) flights: Vec<Flight>,
@@ -183,8 +181,8 @@
 
 impl Upstream {
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
-        let (out, used, returned, flights, queue, due, idle, learned) = Default::default();
-        Upstream { entry, out, used, returned, flights, queue, due, idle, learned }
+        let (out, returned, flights, queue, due, idle, learned) = Default::default();
+        Upstream { entry, out, returned, flights, queue, due, idle, learned }
     }
 
     /// The list and the operators let it have calls.
