--- a/src/balance.rs
+++ b/src/balance.rs
@@ -115,6 +115,7 @@
             Event::Upstreams(scope, entries) => self.on_list(scope, entries, actions),
             Event::Maintenance { upstream, out } => self.on_maintenance(upstream, out, actions),
             Event::Request(request) => self.on_request(request, actions),
+            Event::Written(id) => self.on_written(id),
             Event::Started(id) => self.calls.get_mut(&id).into_iter().for_each(|c| c.concluded = true),
             Event::Outcome(end) => self.on_outcome(end, actions),
             Event::ClientGone(id) => self.conclude(id, actions),
@@ -230,7 +231,7 @@
     }
 
     fn on_request(&mut self, request: Request, actions: &mut Vec<Action>) {
-        let Request { id, class, tenant, remaining, cost_hint, .. } = request;
+        let Request { id, class, tenant, remaining, cost_hint, streamed } = request;
         let Some(c) = self.cfg.classes.get(class).filter(|_| !self.calls.contains_key(&id)) else { return };
         let work = cost_hint.filter(|h| *h > 0.0).unwrap_or(1.0);
         let usual = self.usual[class].latency(work);
@@ -245,7 +246,7 @@
         let quota = self.cfg.tenants.get(tenant).map_or(0.0, |t| t.quota_per_s) / self.cfg.peers_total as f64;
         let over = self.rates.get_mut(tenant).map_or(0.0, |r| r.beyond(quota, self.now, c.deadline));
         let hurried = remaining < c.aim;
-        let call = Call { class, deadline, work, over, hold_until, hurried, ..Call::default() };
+        let call = Call { class, deadline, work, over, hold_until, hurried, streamed, ..Call::default() };
         self.credit_cold();
         self.calls.insert(id, call);
         self.place(id, actions);
@@ -379,7 +380,7 @@
     }
 
     fn overdue(&self, f: &Flight) -> bool {
-        self.now - f.sent > SILENCE * f.usual
+        self.now - f.whole > SILENCE * f.usual
     }
 
     /// What the class's effect, the list and the limits allow.
@@ -419,7 +420,8 @@
         u.learned.credit = (u.learned.credit - 1.0).max(0.0);
         call.held_at = None;
         call.tries.push(Try { to: u.entry.clone(), sent, outcome: None });
-        u.flights.push(Flight { id, class: call.class, sent, usual, idle });
+        let whole = if call.streamed { f64::INFINITY } else { sent };
+        u.flights.push(Flight { id, class: call.class, sent, whole, usual, idle });
         self.turns.turn = self.turns.turn.max(u.due);
         u.due = self.turns.turn + pace;
         actions.push(Action::Send { id, upstream, timeout: None });
@@ -429,6 +431,15 @@
         }
     }
 
+    /// Guards against taking the time in which a client sends for silence of the upstream.
+    fn on_written(&mut self, id: RequestId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.streamed = false;
+        let to = call.tries.last().and_then(|t| self.upstreams.get_mut(&t.to.id));
+        let flight = to.and_then(|u| u.flights.iter_mut().find(|f| f.id == id));
+        flight.into_iter().for_each(|f| f.whole = self.now);
+    }
+
     /// Guards against connections that were dropped unseen while idle: those idle for longer than is trusted
     /// are closed before use. Returns for how long the one to be used was idle. Costs handshakes, if it errs.
     fn open_connection(&mut self, upstream: UpstreamId, actions: &mut Vec<Action>) -> f64 {
--- /dev/null
+++ b/src/bin/magpiechute/bodies.rs
@@ -0,0 +1,438 @@
+//! Bodies in both directions: read ahead where they are small, streamed where they are large. What is read ahead
+//! comes out of one budget of memory, and nothing is read of a body before there is somewhere for it to go.
+
+use crate::stats::{Ending, InFlight};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::any::Any;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, timeout, timeout_at, Instant, Sleep};
+
+/// Bodies hold this much at the most, in either direction.
+pub const LARGEST_BODY: u64 = 32 << 20;
+/// So much of a body is read ahead: one that is no larger can be sent again, or found broken, as a whole.
+pub const READ_AHEAD: usize = 64 << 10;
+/// An answer of unknown length is held back for no longer than this, lest its reader waits for it.
+pub const HELD_BACK: Duration = Duration::from_millis(500);
+/// The part of the memory that what is read ahead may take; as much again is for a second process.
+const MEMORY_PART: usize = 8;
+/// A body comes at this rate at the least, in bytes a second,
+const LEAST_RATE: f64 = 32_000.0;
+/// but for so long.
+const HESITATION: Duration = Duration::from_millis(800);
+/// Of a body that is being streamed the next part comes within this time: its client has shown that it sends,
+const CLIENT_STALL: Duration = Duration::from_secs(3);
+/// and an upstream that it answers.
+const UPSTREAM_STALL: Duration = Duration::from_secs(8);
+
+/// Why a body ends before its end.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Broken {
+    #[error("the body is broken")]
+    Cut,
+    #[error("the body did not come in time")]
+    Stalled,
+    #[error("the body is too large")]
+    TooLarge,
+}
+
+/// The memory that may be taken for what is read ahead.
+#[derive(Debug)]
+pub struct Memory(Arc<Semaphore>);
+
+/// Memory that has been taken; given back when dropped.
+pub type Room = OwnedSemaphorePermit;
+
+impl Memory {
+    pub fn new(limit: usize) -> Rc<Self> {
+        let most = (limit / MEMORY_PART).clamp(READ_AHEAD, Semaphore::MAX_PERMITS);
+        Rc::new(Memory(Arc::new(Semaphore::new(most))))
+    }
+
+    /// Waits until there is room for so many bytes.
+    async fn take(&self, bytes: usize) -> Option<Room> {
+        // The semaphore is never closed, so there is room in the end.
+        self.0.clone().acquire_many_owned(bytes as u32).await.ok()
+    }
+
+    /// Room for what is read ahead of an answer, if there is some now.
+    pub fn try_take(&self) -> Option<Room> {
+        self.0.clone().try_acquire_many_owned(READ_AHEAD as u32).ok()
+    }
+}
+
+/// A request's body: what has been read ahead, and what is still to come from its client.
+#[derive(Debug)]
+pub struct Upload {
+    ahead: Bytes,
+    rest: RefCell<Option<Incoming>>,
+    /// All of it, if that is known.
+    length: Option<u64>,
+    /// Read so far.
+    read: Cell<u64>,
+    /// When its client last sent a part of it.
+    moved: Cell<Instant>,
+    /// Some of what was not read ahead has gone to an upstream, and can go to no other.
+    spent: Cell<bool>,
+    broken: Cell<Option<Broken>>,
+    /// Told once all of it has been read.
+    whole: RefCell<Option<oneshot::Sender<()>>>,
+    _room: Option<Room>,
+}
+
+impl Upload {
+    /// One that has no bytes.
+    pub fn empty() -> Self {
+        Self::new(Bytes::new(), None, Some(0), None)
+    }
+
+    fn new(ahead: Bytes, rest: Option<Incoming>, length: Option<u64>, room: Option<Room>) -> Self {
+        let read = Cell::new(ahead.len() as u64);
+        let moved = Cell::new(Instant::now());
+        let (spent, broken, whole) = Default::default();
+        Upload { ahead, rest: RefCell::new(rest), length, read, moved, spent, broken, whole, _room: room }
+    }
+
+    /// Reads ahead. Whoever has sent little so far has until `first` at the least.
+    pub async fn read(mut body: Incoming, memory: &Memory, first: Instant) -> Result<Self, Broken> {
+        let length = body.size_hint().exact();
+        if body.size_hint().lower() > LARGEST_BODY {
+            return Err(Broken::TooLarge);
+        }
+        if body.is_end_stream() {
+            return Ok(Self::empty());
+        }
+        let most = length.map_or(READ_AHEAD, |length| (length as usize).min(READ_AHEAD));
+        let mut room = memory.take(most).await;
+        let begun = Instant::now();
+        let mut ahead = BytesMut::new();
+        while ahead.len() < READ_AHEAD {
+            let least = begun + HESITATION + Duration::from_secs_f64(ahead.len() as f64 / LEAST_RATE);
+            match timeout_at(first.max(least), body.frame()).await {
+                Ok(Some(Ok(frame))) => ahead.extend(frame.into_data().unwrap_or_default()),
+                Ok(Some(Err(_))) => return Err(Broken::Cut),
+                Ok(None) => {
+                    let left = most.saturating_sub(ahead.len());
+                    drop(room.as_mut().and_then(|room| room.split(left)));
+                    let length = Some(ahead.len() as u64);
+                    return Ok(Self::new(ahead.freeze(), None, length, room));
+                }
+                Err(_) => return Err(Broken::Stalled),
+            }
+        }
+        let rest = (!body.is_end_stream()).then_some(body);
+        let length = if rest.is_none() { Some(ahead.len() as u64) } else { length };
+        Ok(Self::new(ahead.freeze(), rest, length, room))
+    }
+
+    /// All of it, if that is known.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// When its client last sent a part of it.
+    pub fn moved(&self) -> Instant {
+        self.moved.get()
+    }
+
+    /// A part of it has yet to come.
+    pub fn is_streamed(&self) -> bool {
+        self.rest.borrow().is_some()
+    }
+
+    /// It can go to an upstream from its beginning.
+    pub fn is_fresh(&self) -> bool {
+        !self.spent.get()
+    }
+
+    /// Why its client will never send all of it.
+    pub fn broken(&self) -> Option<Broken> {
+        self.broken.get()
+    }
+
+    /// Told once all of it has been read; in vain if that never happens.
+    pub fn when_whole(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        *self.whole.borrow_mut() = Some(sender);
+        receiver
+    }
+
+    /// Reads what is left of it, to no end. Guards against a client that is still sending, and would not read its
+    /// answer before that is done.
+    pub async fn discard(&self) {
+        let Some(mut rest) = self.rest.borrow_mut().take() else { return };
+        while let Ok(Some(Ok(frame))) = timeout(CLIENT_STALL, rest.frame()).await {
+            let count = frame.data_ref().map_or(0, |data| data.len() as u64);
+            self.read.set(self.read.get() + count);
+            if self.read.get() > LARGEST_BODY {
+                return;
+            }
+        }
+    }
+
+    fn poll_rest(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        let mut rest = self.rest.borrow_mut();
+        let Some(body) = rest.as_mut() else { return Poll::Ready(None) };
+        loop {
+            match ready!(Pin::new(&mut *body).poll_frame(cx)) {
+                Some(Ok(frame)) => {
+                    // Trailers end here.
+                    let Ok(data) = frame.into_data() else { continue };
+                    self.spent.set(true);
+                    self.moved.set(Instant::now());
+                    self.read.set(self.read.get() + data.len() as u64);
+                    if self.read.get() > LARGEST_BODY {
+                        return Poll::Ready(Some(Err(Broken::TooLarge)));
+                    }
+                    if body.is_end_stream() {
+                        self.end(&mut rest);
+                    }
+                    return Poll::Ready(Some(Ok(data)));
+                }
+                Some(Err(_)) => return Poll::Ready(Some(Err(Broken::Cut))),
+                None => {
+                    self.moved.set(Instant::now());
+                    self.end(&mut rest);
+                    return Poll::Ready(None);
+                }
+            }
+        }
+    }
+
+    fn end(&self, rest: &mut Option<Incoming>) {
+        *rest = None;
+        if let Some(whole) = self.whole.borrow_mut().take() {
+            // Whoever asked may have gone.
+            let _ = whole.send(());
+        }
+    }
+}
+
+/// A request's body on its way to one upstream.
+pub struct Sending {
+    upload: Rc<Upload>,
+    begun: bool,
+    /// Told how many bytes there are once all of them are handed on.
+    at_end: Option<Box<dyn FnOnce(u64)>>,
+    stall: Stall,
+}
+
+impl Sending {
+    pub fn new(upload: Rc<Upload>, at_end: impl FnOnce(u64) + 'static) -> Self {
+        let at_end: Option<Box<dyn FnOnce(u64)>> = Some(Box::new(at_end));
+        let mut sending = Sending { upload, begun: false, at_end, stall: Stall::new(CLIENT_STALL) };
+        sending.note_end();
+        sending
+    }
+
+    fn note_end(&mut self) {
+        if !self.upload.is_streamed() {
+            let read = self.upload.read.get();
+            self.at_end.take().into_iter().for_each(|at_end| at_end(read));
+        }
+    }
+}
+
+impl Body for Sending {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if !std::mem::replace(&mut self.begun, true) && !self.upload.ahead.is_empty() {
+            return Poll::Ready(Some(Ok(Frame::data(self.upload.ahead.clone()))));
+        }
+        let upload = self.upload.clone();
+        let part = upload.poll_rest(cx);
+        match ready!(self.stall.poll(cx, part)) {
+            Ok(Some(Ok(data))) => {
+                self.note_end();
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Ok(None) => {
+                self.note_end();
+                Poll::Ready(None)
+            }
+            Ok(Some(Err(why))) | Err(why) => {
+                upload.broken.set(Some(why));
+                Poll::Ready(Some(Err(why)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        (self.begun || self.upload.ahead.is_empty()) && !self.upload.is_streamed()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.upload.length.map(SizeHint::with_exact).unwrap_or_default()
+    }
+}
+
+/// How long a peer may take for the next part of a body. Time in which nobody asks for it does not count.
+struct Stall {
+    most: Duration,
+    sleep: Pin<Box<Sleep>>,
+    waits: bool,
+}
+
+impl Stall {
+    fn new(most: Duration) -> Self {
+        Stall { most, sleep: Box::pin(sleep(most)), waits: false }
+    }
+
+    /// Looks at the peer: ready with what it has sent, or with an error once it has taken too long.
+    fn poll<T>(&mut self, cx: &mut Context<'_>, peer: Poll<T>) -> Poll<Result<T, Broken>> {
+        if let Poll::Ready(part) = peer {
+            self.waits = false;
+            return Poll::Ready(Ok(part));
+        }
+        if !std::mem::replace(&mut self.waits, true) {
+            self.sleep.as_mut().reset(Instant::now() + self.most);
+        }
+        self.sleep.as_mut().poll(cx).map(|()| Err(Broken::Stalled))
+    }
+}
+
+/// An answer whose beginning is here: from its upstream, as its client takes it.
+pub struct Download {
+    ahead: VecDeque<Bytes>,
+    rest: Incoming,
+    length: Option<u64>,
+    /// Read from the upstream so far.
+    read: u64,
+    /// Told once all of it has been read: its connection can be used again.
+    whole: Option<oneshot::Sender<()>>,
+    stall: Stall,
+    _room: Option<Room>,
+}
+
+impl Download {
+    pub fn new(
+        ahead: VecDeque<Bytes>,
+        rest: Incoming,
+        length: Option<u64>,
+        whole: oneshot::Sender<()>,
+        room: Option<Room>,
+    ) -> Self {
+        let read = ahead.iter().map(|data| data.len() as u64).sum();
+        let stall = Stall::new(UPSTREAM_STALL);
+        let mut download = Download { ahead, rest, length, read, whole: Some(whole), stall, _room: room };
+        if length == Some(read) {
+            download.end();
+        }
+        download
+    }
+
+    /// All of it has been passed on.
+    fn is_over(&self) -> bool {
+        self.ahead.is_empty() && self.whole.is_none()
+    }
+
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        if let Some(data) = self.ahead.pop_front() {
+            return Poll::Ready(Some(Ok(data)));
+        }
+        loop {
+            let frame = Pin::new(&mut self.rest).poll_frame(cx);
+            let data = match ready!(self.stall.poll(cx, frame)) {
+                Ok(Some(Ok(frame))) => frame.into_data(),
+                Ok(Some(Err(_))) => return Poll::Ready(Some(Err(Broken::Cut))),
+                Ok(None) => {
+                    self.end();
+                    return Poll::Ready(None);
+                }
+                Err(stalled) => return Poll::Ready(Some(Err(stalled))),
+            };
+            // Trailers end here.
+            let Ok(data) = data else { continue };
+            self.read += data.len() as u64;
+            if self.read > LARGEST_BODY {
+                return Poll::Ready(Some(Err(Broken::TooLarge)));
+            }
+            // Where the length is known nobody asks what comes after it.
+            if self.length == Some(self.read) {
+                self.end();
+            }
+            return Poll::Ready(Some(Ok(data)));
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some(whole) = self.whole.take() {
+            // The connection may have ended by itself.
+            let _ = whole.send(());
+        }
+    }
+}
+
+/// An answer's body on its way to a client.
+pub struct Reply {
+    whole: Option<Bytes>,
+    streamed: Option<Streamed>,
+}
+
+/// It is counted at its end; `_kept` is dropped then too, or when its client goes first.
+struct Streamed {
+    download: Box<Download>,
+    counted: InFlight,
+    _kept: Box<dyn Any>,
+}
+
+impl Reply {
+    pub fn whole(body: Bytes) -> Self {
+        Reply { whole: Some(body).filter(|body| !body.is_empty()), streamed: None }
+    }
+
+    /// One that is passed on as it comes; `kept` is kept until it is over.
+    pub fn streamed(download: Box<Download>, counted: InFlight, kept: Box<dyn Any>) -> Self {
+        Reply { whole: None, streamed: Some(Streamed { download, counted, _kept: kept }) }
+    }
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let Some(streamed) = self.streamed.as_mut() else {
+            return Poll::Ready(self.whole.take().map(|body| Ok(Frame::data(body))));
+        };
+        let next = ready!(streamed.download.poll_data(cx));
+        match next {
+            Some(Ok(_)) if !streamed.download.is_over() => {}
+            Some(Ok(_)) | None => streamed.counted.end(Ending::Served),
+            Some(Err(_)) => streamed.counted.end(Ending::Failed),
+        }
+        if !matches!(next, Some(Ok(_))) {
+            self.streamed = None;
+        }
+        Poll::Ready(next.map(|data| data.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.whole.is_none() && self.streamed.as_ref().is_none_or(|streamed| streamed.download.is_over())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.streamed {
+            Some(streamed) => streamed.download.length.map(SizeHint::with_exact).unwrap_or_default(),
+            None => SizeHint::with_exact(self.whole.as_ref().map_or(0, |body| body.len() as u64)),
+        }
+    }
+}
--- a/src/bin/magpiechute/config.rs
+++ b/src/bin/magpiechute/config.rs
@@ -55,11 +55,12 @@
 #[serde(default)]
 struct FileLimits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl Default for FileLimits {
     fn default() -> Self {
-        FileLimits { sockets: 1024 }
+        FileLimits { sockets: 1024, memory_mb: 32.0 }
     }
 }
 
@@ -82,6 +83,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that the process may take.
+    pub memory: usize,
     pub known: List,
     pub settings: Settings,
     pub names: Names,
@@ -146,6 +149,7 @@
             console: optional("PROXY_CONSOLE", file.console, false)?,
             seed,
             sockets: file.limits.sockets,
+            memory: (file.limits.memory_mb * f64::from(1 << 20)) as usize,
             known: file.known,
             settings,
             names,
--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -1,5 +1,6 @@
 //! magpiechute, the balancer on real sockets. See README.md for what it is told and what it promises.
 
+mod bodies;
 mod config;
 mod console;
 mod discovery;
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -1,13 +1,13 @@
 //! Callers: takes their connections and requests, and gives them their answers.
 
+use crate::bodies::{Broken, Memory, Reply, Upload};
 use crate::driver::{Driver, Final, Taken, Untaken};
 use crate::log;
 use crate::socket::{Budget, Purpose, Socket};
 use crate::stats::{Ending, Stats};
-use crate::upstream::{end_to_end, Forward, LARGEST_BODY};
+use crate::upstream::{end_to_end, Content, Forward};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -24,12 +24,12 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// Connections that the kernel takes for us while the loop is busy.
 const BACKLOG: u32 = 4096;
-/// A client has this long from its connection to the end of its first request.
-const FIRST_REQUEST: Duration = Duration::from_millis(2300);
+/// A client has this long from its connection to the end of its first request, or of the head of a longer one.
+const FIRST_REQUEST: Duration = Duration::from_millis(2500);
 /// Then it has this much more to be told that it took too long.
 const GRACE: Duration = Duration::from_millis(200);
 /// A connection whose next request takes longer to come, or whose client takes its answer no faster, is closed.
@@ -58,6 +58,8 @@
     idle: Cell<Option<Instant>>,
     /// It has carried no whole request yet.
     fresh: Cell<bool>,
+    /// An answer is on its way in parts.
+    streaming: Cell<bool>,
     closing: Cell<bool>,
     close: Notify,
     /// It is to make room.
@@ -73,6 +75,7 @@
             opened,
             idle: Cell::new(Some(opened)),
             fresh: Cell::new(true),
+            streaming: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
             evicting: Cell::new(false),
@@ -99,8 +102,11 @@
             let now = Instant::now();
             let until = match self.idle.get() {
                 Some(since) => {
+                    // A client that takes what it is given is not idle.
+                    let since = since.max(self.socket.last_written());
                     self.first_request().map_or(since + IDLE, |first| first + GRACE).min(since + most())
                 }
+                None if self.streaming.get() => self.socket.last_written() + IDLE,
                 None => now + HURRIED,
             };
             if until <= now {
@@ -142,6 +148,7 @@
     away: Cell<Option<u64>>,
     last_away: Cell<u64>,
     stats: Rc<Stats>,
+    memory: Rc<Memory>,
 }
 
 /// Listens; an address that a killed predecessor held can be taken at once, and one that is `shared` beside a process
@@ -156,13 +163,14 @@
 
 impl Server {
     pub fn new(driver: Rc<RefCell<Driver>>, budget: Rc<Budget>) -> Rc<Self> {
-        let stats = driver.borrow().stats().clone();
+        let (stats, memory) = (driver.borrow().stats().clone(), driver.borrow().memory());
         Rc::new(Server {
             driver,
             budget,
             away: Cell::new(None),
             last_away: Cell::new(0),
             stats,
+            memory,
             clients: RefCell::default(),
             accepted: Cell::new(0),
             listens: Cell::new(false),
@@ -272,7 +280,7 @@
         let refused = permit.is_none();
         // With no room even for a refusal, closing is all that is left.
         let Some(permit) = permit.or_else(|| self.budget.take(Purpose::Refusal)) else { return };
-        spawn_local(self.clone().serve(Socket::new(stream, permit), refused));
+        spawn_local(self.clone().serve(Socket::of_client(stream, permit), refused));
     }
 
     /// Closes the client's connection that can best be spared; false if there is none.
@@ -317,7 +325,9 @@
                 if server.sheds() || answer.status().is_client_error() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                client.idle.set(Some(Instant::now()));
+                if !client.streaming.get() {
+                    client.idle.set(Some(Instant::now()));
+                }
                 Ok::<_, Infallible>(answer)
             }
         });
@@ -349,7 +359,7 @@
         self.clients.borrow_mut().remove(&number);
     }
 
-    async fn answer(&self, request: Request<Incoming>, client: &Client) -> Answer {
+    async fn answer(&self, request: Request<Incoming>, client: &Rc<Client>) -> Answer {
         if request.uri().path() == "/healthz" {
             return match self.is_ready() {
                 true => plain(StatusCode::OK, "ready"),
@@ -360,8 +370,8 @@
             Ok(taken) => taken,
             Err(Bad(status, text)) => return plain(status, &text),
         };
+        let upload = taken.forward.upload.clone();
         client.fresh.set(false);
-        client.idle.set(None);
         let request = self.stats.take(taken.class);
         let (id, answer) = match self.driver.borrow_mut().take(taken) {
             Ok(taken) => taken,
@@ -376,10 +386,22 @@
         };
         // Dropped with this future when the client goes away first.
         let _gone = Gone { driver: &self.driver, id };
-        match answer.await {
+        let answer = answer.await;
+        if upload.is_streamed() {
+            spawn_local(async move { upload.discard().await });
+        }
+        match answer {
             Ok(Final::Served(served)) => {
-                request.end(Ending::Served);
-                let mut response = Response::new(Full::new(served.body));
+                let body = match served.body {
+                    Content::Whole(body) => {
+                        request.end(Ending::Served);
+                        Reply::whole(body)
+                    }
+                    Content::Streamed(download) => {
+                        Reply::streamed(download, request, Box::new(Streaming::begin(client)))
+                    }
+                };
+                let mut response = Response::new(body);
                 *response.headers_mut() = end_to_end(&served.headers);
                 response
             }
@@ -417,11 +439,6 @@
             Some(Ok(value)) if value.is_finite() && value >= 0.0 => Ok(Some(value)),
             Some(_) => Err(bad(&format!("{name} is not a number"))),
         };
-        // Guards against a request that hides another: beside a coding, a length may say otherwise, and not
-        // everyone on the way believes the same of the two.
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return Err(Bad(StatusCode::LENGTH_REQUIRED, "Content-Length is wanted".into()));
-        }
         let (class, tenant, limit) = {
             let driver = self.driver.borrow();
             let name = head.uri.path().split('/').nth(1).unwrap_or_default();
@@ -456,39 +473,85 @@
             }
             Some(id) => id.to_string(),
         };
+        // Guards against a request that hides another: beside a coding, a length may say otherwise, and not
+        // everyone on the way believes the same of the two.
+        if head.headers.contains_key(TRANSFER_ENCODING) && !is_plainly_chunked(&client.socket.recent(), &name)
+        {
+            return Err(bad("the end of the body is unclear"));
+        }
         let wait = number("request-timeout")?.unwrap_or(limit).min(limit);
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or_default();
         let cost_hint = number("work-hint")?.map(|micros| micros / 1e6);
-        let deadline = came + Duration::try_from_secs_f64(wait).unwrap_or_default();
-        // Guards against a request that is still open when the process is killed, and so is lost.
-        let deadline = self.draining.get().map_or(deadline, |settled| deadline.min(settled));
-        let large = || Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large".into());
-        if body.size_hint().lower() > LARGEST_BODY as u64 {
-            return Err(large());
-        }
-        if head.method == Method::GET && !body.is_end_stream() {
+        let first = client.first_request().unwrap_or(came + IDLE);
+        // Its body is timed by itself.
+        client.idle.set(None);
+        let upload = Upload::read(body, &self.memory, first).await.map_err(|broken| {
+            let status = match broken {
+                Broken::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+                Broken::Stalled => StatusCode::REQUEST_TIMEOUT,
+                Broken::Cut => StatusCode::BAD_REQUEST,
+            };
+            Bad(status, broken.to_string())
+        })?;
+        if head.method == Method::GET && upload.length() != Some(0) {
             return Err(bad("GET has no body"));
         }
-        let body_until = client.first_request().map_or(deadline, |first| first.min(deadline));
-        let body = match timeout_at(body_until, Limited::new(body, LARGEST_BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(large()),
-            Ok(Err(_)) => return Err(bad("the body is broken")),
-            Err(_) => return Err(Bad(StatusCode::REQUEST_TIMEOUT, "the body did not come in time".into())),
-        };
         let mut headers = end_to_end(&head.headers);
-        if !body.is_empty() || head.headers.contains_key(CONTENT_LENGTH) {
-            headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+        match upload.length() {
+            Some(0) if !head.headers.contains_key(CONTENT_LENGTH) => {}
+            Some(length) => drop(headers.insert(CONTENT_LENGTH, HeaderValue::from(length))),
+            None => {}
         }
         let uri = match head.uri.path_and_query() {
             Some(path) => path.clone().into(),
             None => return Err(bad("the path is missing")),
         };
-        let forward = Forward { method: head.method, uri, headers, body };
-        Ok(Taken { name, class, tenant, deadline, cost_hint, forward })
+        // Guards against a request that is still open when the process is killed, and so is lost.
+        let settled = self.draining.get();
+        let upload = Rc::new(upload);
+        let forward = Forward { method: head.method, uri, headers, upload, wait, settled };
+        Ok(Taken { name, class, tenant, cost_hint, forward })
+    }
+}
+
+type Answer = Response<Reply>;
+
+/// An answer that goes to its client in parts.
+struct Streaming(Rc<Client>);
+
+impl Streaming {
+    fn begin(client: &Rc<Client>) -> Self {
+        client.streaming.set(true);
+        Streaming(client.clone())
     }
 }
 
-type Answer = Response<Full<Bytes>>;
+impl Drop for Streaming {
+    fn drop(&mut self) {
+        self.0.streaming.set(false);
+        self.0.idle.set(Some(Instant::now()));
+    }
+}
+
+/// True if the head of the request of this name, as it came, has a coding and no length beside it. Whoever reads heads
+/// drops the one for the other, so that it has to be looked up in what came.
+fn is_plainly_chunked(recent: &[u8], name: &str) -> bool {
+    let (mut found, mut length) = (false, false);
+    for line in recent.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii) {
+        let mut parts = line.splitn(2, |byte| *byte == b':');
+        let (header, value) = (parts.next().unwrap_or(line), parts.next().unwrap_or_default());
+        match header {
+            [] if found => return !length,
+            [] => length = false,
+            _ if header.eq_ignore_ascii_case(b"content-length") => length = true,
+            _ if header.eq_ignore_ascii_case(b"request-id") => {
+                found = value.trim_ascii() == name.as_bytes();
+            }
+            _ => {}
+        }
+    }
+    false
+}
 
 /// Why a request was not taken.
 struct Bad(StatusCode, String);
@@ -506,7 +569,7 @@
 }
 
 fn plain(status: StatusCode, text: &str) -> Answer {
-    let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    let mut response = Response::new(Reply::whole(Bytes::copy_from_slice(text.as_bytes())));
     *response.status_mut() = status;
     response
 }
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -3,7 +3,7 @@
 use crate::stats::Stats;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Descriptors that are no sockets of ours: standard streams, the event loop, the listener, signals.
 const OTHER_FILES: usize = 16;
@@ -20,6 +21,8 @@
 const DISCOVERY: usize = 4;
 /// Kept free for the operators' calls, where there is a console: whatever the load is, they get through.
 const CONSOLE: usize = 12;
+/// So much of what came last from a client is kept: a head as it came, as a rule.
+const RECENT: usize = 8 << 10;
 /// This part of what is left is for upstreams alone.
 const UPSTREAM_PART: f64 = 0.4;
 
@@ -125,6 +128,10 @@
     /// Bytes that may be read in all; more breaks the connection.
     most_read: Cell<usize>,
     written: Cell<usize>,
+    last_written: Cell<Instant>,
+    /// The bytes that were read last from a client.
+    recent: RefCell<Vec<u8>>,
+    keeps_recent: bool,
     /// What is to be told once so many bytes are written.
     whole: RefCell<Option<(usize, Rc<Stats>)>>,
     /// It has to be quiet when its next byte is written.
@@ -138,14 +145,46 @@
         Ok(Self::new(TcpStream::connect(address).await?, permit))
     }
 
+    /// A client's connection, of which the bytes that came last are kept.
+    pub fn of_client(stream: TcpStream, permit: Permit) -> Self {
+        Self::build(stream, permit, true)
+    }
+
     /// A connection that is up.
     pub fn new(stream: TcpStream, permit: Permit) -> Self {
+        Self::build(stream, permit, false)
+    }
+
+    fn build(stream: TcpStream, permit: Permit, keeps_recent: bool) -> Self {
         // Without it the peer only hears later.
         let _ = stream.set_nodelay(true);
         let (read, most_read) = (Cell::new(0), Cell::new(usize::MAX));
         let (written, wants_quiet) = (Cell::new(0), Cell::new(false));
-        let whole = RefCell::default();
-        Socket(Rc::new(Inner { stream, read, most_read, written, whole, wants_quiet, _permit: permit }))
+        let (last_written, recent, whole) =
+            (Cell::new(Instant::now()), RefCell::default(), RefCell::default());
+        Socket(Rc::new(Inner {
+            stream,
+            read,
+            most_read,
+            written,
+            last_written,
+            recent,
+            keeps_recent,
+            whole,
+            wants_quiet,
+            _permit: permit,
+        }))
+    }
+
+    fn keep_recent(&self, bytes: &[u8]) {
+        if !self.0.keeps_recent {
+            return;
+        }
+        let mut recent = self.0.recent.borrow_mut();
+        let bytes = &bytes[bytes.len().saturating_sub(RECENT)..];
+        let old = (recent.len() + bytes.len()).saturating_sub(RECENT);
+        recent.drain(..old);
+        recent.extend_from_slice(bytes);
     }
 
     /// Bytes taken from the kernel so far.
@@ -158,16 +197,38 @@
         self.0.written.get()
     }
 
-    /// A new exchange begins: nothing may have come before its first byte is written, and its answer may
-    /// have so many bytes. Once its request, of so many bytes at the least, is written, that is counted.
-    pub fn begin(&self, most_read: usize, request: usize, stats: &Rc<Stats>) {
+    /// A new exchange begins: nothing may have come before its first byte is written, and so many bytes may come
+    /// until more is allowed.
+    pub fn begin(&self, most_read: usize) {
         self.0.wants_quiet.set(true);
         self.0.most_read.set(self.read().saturating_add(most_read));
-        *self.0.whole.borrow_mut() = Some((self.written() + request, stats.clone()));
+        *self.0.whole.borrow_mut() = None;
+    }
+
+    /// Whatever comes from now on may be read.
+    pub fn allow_more(&self) {
+        self.0.most_read.set(usize::MAX);
+    }
+
+    /// An attempt is whole, and counted, once so many bytes are written in all.
+    pub fn count_at(&self, written: usize, stats: Rc<Stats>) {
+        *self.0.whole.borrow_mut() = Some((written, stats));
+        self.note_written(0);
+    }
+
+    /// When bytes were last handed to the kernel.
+    pub fn last_written(&self) -> Instant {
+        self.0.last_written.get()
+    }
+
+    /// The bytes that were read last, for as many as are kept.
+    pub fn recent(&self) -> Ref<'_, Vec<u8>> {
+        self.0.recent.borrow()
     }
 
     fn note_written(&self, count: usize) {
         self.0.written.set(self.written() + count);
+        self.0.last_written.set(Instant::now());
         let mut whole = self.0.whole.borrow_mut();
         if let Some((_, stats)) = whole.take_if(|(at, _)| self.written() >= *at) {
             stats.attempt_written();
@@ -201,6 +262,7 @@
                     if self.read() > self.0.most_read.get() {
                         return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
                     }
+                    self.keep_recent(&bytes[..count]);
                     buffer.put_slice(&bytes[..count]);
                     return Poll::Ready(Ok(()));
                 }
--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -1,28 +1,30 @@
 //! Attempts at upstreams, and the idle connections that they leave behind.
 
+use crate::bodies::{Download, Memory, Sending, Upload, HELD_BACK, LARGEST_BODY, READ_AHEAD};
 use crate::socket::{Budget, Purpose, Socket};
 use crate::stats::Stats;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, Uri, Version};
 use ryequay::{Outcome, UpstreamId};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// Bodies hold this much at the most, in either direction.
-pub const LARGEST_BODY: usize = 64 << 10;
 /// The head of an answer.
 const LARGEST_HEAD: usize = 16 << 10;
-/// All that may come as one answer: interim answers ahead of it and the framing of its body included.
-const LARGEST_ANSWER: usize = 2 * LARGEST_BODY + 2 * LARGEST_HEAD;
+/// All that may come ahead of a body: interim answers and the head.
+const LARGEST_PREFACE: usize = 4 * LARGEST_HEAD;
 /// Idle connections are dropped this share of their time before the upstream would.
 const MARGIN: f64 = 0.1;
 /// Idle connections that are kept to one upstream: it holds only so many, from all balancers.
@@ -56,14 +58,31 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub upload: Rc<Upload>,
+    /// Its client waits for so long from its last byte on.
+    pub wait: Duration,
+    /// It is to be settled by then in any case.
+    pub settled: Option<Instant>,
 }
 
-/// A whole answer.
-#[derive(Debug)]
+impl Forward {
+    /// When its client gives up, if it sends nothing more.
+    pub fn deadline(&self) -> Instant {
+        let deadline = self.upload.moved() + self.wait;
+        self.settled.map_or(deadline, |settled| deadline.min(settled))
+    }
+}
+
+/// An answer.
 pub struct Answer {
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Content,
+}
+
+/// The body of an answer: here whole, or still coming.
+pub enum Content {
+    Whole(Bytes),
+    Streamed(Box<Download>),
 }
 
 /// How an attempt ended; an answer comes with `Outcome::Ok` only.
@@ -85,16 +104,24 @@
     places: RefCell<HashMap<UpstreamId, Place>>,
     budget: Rc<Budget>,
     stats: Rc<Stats>,
+    memory: Rc<Memory>,
     connect_timeout: Duration,
     keep: Duration,
 }
 
 impl Pool {
-    pub fn new(budget: Rc<Budget>, stats: Rc<Stats>, connect_timeout: f64, idle_timeout: f64) -> Self {
+    pub fn new(
+        budget: Rc<Budget>,
+        stats: Rc<Stats>,
+        memory: Rc<Memory>,
+        connect_timeout: f64,
+        idle_timeout: f64,
+    ) -> Self {
         Pool {
             places: RefCell::default(),
             budget,
             stats,
+            memory,
             connect_timeout: Duration::from_secs_f64(connect_timeout.min(60.0)),
             keep: Duration::from_secs_f64((idle_timeout * (1.0 - MARGIN)).min(3600.0)),
         }
@@ -180,18 +207,43 @@
     }
 }
 
-/// One attempt. It ends at `until` at the latest; dropping it closes its connection.
+/// One attempt. It ends at `until` or the request's deadline at the latest; dropping it closes its connection.
 pub struct Attempt {
     pub pool: Rc<Pool>,
     pub upstream: UpstreamId,
     pub address: SocketAddr,
     pub request: Rc<Forward>,
-    pub until: Instant,
+    pub until: Option<Instant>,
+    /// What is held back of a deadline, so that its client hears in time.
+    pub margin: Duration,
     /// Set when the first byte is about to be written: for how long the connection had been idle.
     pub begun: Rc<Cell<Option<Duration>>>,
 }
 
+/// What becomes of the connection after an exchange.
+enum After {
+    Reuse,
+    Close,
+    /// It carries the rest of the answer, and can be used again once it is told so, if it is kept.
+    Stream {
+        over: oneshot::Receiver<()>,
+        kept: bool,
+    },
+}
+
 impl Attempt {
+    fn deadline(&self) -> Instant {
+        let deadline = self.request.deadline() - self.margin;
+        self.until.map_or(deadline, |until| until.min(deadline))
+    }
+
+    /// Ends at the deadline, wherever that has moved meanwhile.
+    async fn expired(&self) {
+        while self.deadline() > Instant::now() {
+            sleep_until(self.deadline()).await;
+        }
+    }
+
     /// Runs it to its end. "Never ran" is said only where the last byte can't have been handed over.
     pub async fn run(self) -> Ended {
         loop {
@@ -200,95 +252,177 @@
             let (socket, idle) = match kept {
                 Some(kept) => kept,
                 None => {
-                    let socket = timeout_at(self.until, self.pool.connect(self.address)).await;
-                    (socket.unwrap_or(Err(Outcome::ConnectFailed))?, Duration::ZERO)
+                    let socket = tokio::select! {
+                        biased;
+                        socket = self.pool.connect(self.address) => socket?,
+                        () = self.expired() => return Err(Outcome::ConnectFailed),
+                    };
+                    (socket, Duration::ZERO)
                 }
             };
-            let request = self.message();
-            let whole = length(&request);
             let (written, read) = (socket.written(), socket.read());
             self.begun.set(Some(idle));
-            socket.begin(LARGEST_ANSWER, whole, &self.pool.stats);
-            let ended = timeout_at(self.until, exchange(&socket, request)).await;
-            let handed_over = socket.written() - written >= whole;
+            // How many bytes the request has, once that is known.
+            let whole = Rc::new(Cell::new(usize::MAX));
+            let ended = tokio::select! {
+                biased;
+                ended = self.exchange(&socket, whole.clone()) => Some(ended),
+                () = self.expired() => None,
+            };
+            let handed_over = socket.written() - written >= whole.get();
             return match ended {
-                Ok(Ok((answer, reusable))) if handed_over => {
+                Some(Ok((answer, reusable))) if handed_over => {
                     if reusable {
                         self.pool.put(self.upstream, self.address, socket);
                     }
                     answer
                 }
+                // Guards against blaming the upstream for a client that broke off.
+                Some(_) if self.request.upload.broken().is_some() => Err(Outcome::NotSent),
                 // Guards against an answer that was there before its request.
-                Ok(Ok((answer, _))) => answer.and(Err(Outcome::ConnectFailed)),
+                Some(Ok((answer, _))) => answer.and(Err(Outcome::ConnectFailed)),
                 // A kept connection that was found dead in time tells nothing of the upstream.
-                Ok(Err(_)) if !fresh && socket.written() == written => {
+                Some(Err(_)) if !fresh && socket.written() == written && self.request.upload.is_fresh() => {
                     self.begun.set(None);
                     continue;
                 }
                 _ if !handed_over => Err(Outcome::ConnectFailed),
                 // Guards against resting an upstream that spoilt an answer or broke off: it is alive.
-                Ok(Err(_)) if socket.read() > read => Err(Outcome::Spoilt),
-                Ok(Err(_)) => Err(Outcome::Reset),
-                Err(_) => Err(Outcome::TimedOut),
+                Some(Err(_)) if socket.read() > read => Err(Outcome::Spoilt),
+                Some(Err(_)) => Err(Outcome::Reset),
+                None => Err(Outcome::TimedOut),
             };
         }
     }
 
-    fn message(&self) -> Request<Full<Bytes>> {
-        let mut message = Request::new(Full::new(self.request.body.clone()));
-        *message.method_mut() = self.request.method.clone();
-        *message.uri_mut() = self.request.uri.clone();
-        *message.headers_mut() = self.request.headers.clone();
-        let left = (self.until - Instant::now()).as_secs_f64();
+    /// The request, and the bytes that its head has on the wire at the least: hyper writes the headers as they are
+    /// here, and may add some. So a connection that broke before so many were written never carried all of it.
+    fn message(&self, body: impl FnOnce(usize) -> Sending) -> Request<Sending> {
+        let mut headers = self.request.headers.clone();
+        let left = (self.deadline() - Instant::now()).as_secs_f64();
         if let Ok(left) = HeaderValue::from_str(&format!("{left:.3}")) {
-            message.headers_mut().insert("request-timeout", left);
+            headers.insert("request-timeout", left);
         }
+        let (method, uri) = (self.request.method.clone(), self.request.uri.clone());
+        let line = method.as_str().len() + uri.to_string().len() + " HTTP/1.1\r\n".len() + 1;
+        let lines = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+        let mut message = Request::new(body(line + lines.sum::<usize>() + 2));
+        (*message.method_mut(), *message.uri_mut(), *message.headers_mut()) = (method, uri, headers);
         message
     }
-}
 
-/// The bytes that the request has on the wire at the least: hyper writes the headers as they are here, and
-/// may add some. So a connection that broke before so many were written never carried all of it.
-fn length(request: &Request<Full<Bytes>>) -> usize {
-    let line = request.method().as_str().len() + request.uri().to_string().len() + " HTTP/1.1\r\n".len() + 1;
-    let headers = request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
-    let body = hyper::body::Body::size_hint(request.body()).lower() as usize;
-    line + headers.sum::<usize>() + 2 + body
-}
+    /// Sends the request and reads its answer, or the beginning of one that is large.
+    ///
+    /// Each exchange has an HTTP connection of its own on the socket, which is taken apart at the end. Guards against
+    /// bytes behind an answer that stay in its buffer, and would be the next answer's beginning: only a socket
+    /// from which nothing more has come is used again.
+    async fn exchange(&self, socket: &Socket, whole: Rc<Cell<usize>>) -> hyper::Result<(Ended, bool)> {
+        socket.begin(LARGEST_PREFACE);
+        let begin = socket.written();
+        let message = self.message(|head| {
+            let (socket, stats) = (socket.clone(), self.pool.stats.clone());
+            Sending::new(self.request.upload.clone(), move |body| {
+                whole.set(head + body as usize);
+                socket.count_at(begin + whole.get(), stats);
+            })
+        });
+        let mut http = http1::Builder::new();
+        let (mut sender, mut connection) = http.max_buf_size(LARGEST_HEAD).handshake(socket.clone()).await?;
+        let talk = async {
+            let (head, body) = sender.send_request(message).await?.into_parts();
+            if !is_sound(&head) {
+                return Ok((Err(Outcome::Spoilt), After::Close));
+            }
+            let kept = head.version == Version::HTTP_11 && !names(&head.headers, CONNECTION, "close");
+            socket.allow_more();
+            let (ended, after) = match outcome(head.status, &head.headers) {
+                Ok(()) => {
+                    let (content, after) = self.content(body).await?;
+                    (content.map(|body| Answer { headers: head.headers, body }), after)
+                }
+                // What it says is of no use, but its connection may be.
+                Err(outcome) => match Limited::new(body, READ_AHEAD).collect().await {
+                    Ok(_) => (Err(outcome), After::Reuse),
+                    Err(error) => match error.downcast::<hyper::Error>() {
+                        Ok(error) => return Err(*error),
+                        Err(_) => (Err(outcome), After::Close),
+                    },
+                },
+            };
+            let after = match after {
+                After::Stream { over, .. } => After::Stream { over, kept },
+                After::Reuse if kept => After::Reuse,
+                _ => After::Close,
+            };
+            Ok::<_, hyper::Error>((ended, after))
+        };
+        let (ended, after) = {
+            tokio::pin!(talk);
+            tokio::select! {
+                biased;
+                done = &mut talk => done?,
+                // The connection has ended: what it read before that is still to be taken.
+                _ = &mut connection => (talk.await?.0, After::Close),
+            }
+        };
+        let reusable = match after {
+            After::Close => false,
+            After::Reuse => connection.into_parts().read_buf.is_empty(),
+            After::Stream { over, kept } => {
+                let (pool, upstream, address) = (self.pool.clone(), self.upstream, self.address);
+                let socket = socket.clone();
+                spawn_local(async move {
+                    let over = tokio::select! {
+                        biased;
+                        over = over => over.is_ok(),
+                        _ = &mut connection => false,
+                    };
+                    // Until here it would have ended the connection.
+                    drop(sender);
+                    if over && kept && connection.into_parts().read_buf.is_empty() {
+                        pool.put(upstream, address, socket);
+                    }
+                });
+                false
+            }
+        };
+        Ok((ended, reusable))
+    }
 
-/// Sends the request and reads the whole answer; true if the connection can be used again.
-///
-/// Each exchange has an HTTP connection of its own on the socket, which is taken apart at the end. Guards against
-/// bytes behind an answer that stay in its buffer, and would be the next answer's beginning: only a socket
-/// from which nothing more has come is used again.
-async fn exchange(socket: &Socket, request: Request<Full<Bytes>>) -> hyper::Result<(Ended, bool)> {
-    let mut http = http1::Builder::new();
-    let (mut sender, mut connection) = http.max_buf_size(LARGEST_HEAD).handshake(socket.clone()).await?;
-    let spoilt = Ok((Err(Outcome::Spoilt), false));
-    let talk = async {
-        let (head, body) = sender.send_request(request).await?.into_parts();
-        if !is_sound(&head) {
-            return spoilt;
+    /// Reads an answer whole if it is small. Of a large one the first bytes do: its client is waiting for them.
+    async fn content(&self, mut body: Incoming) -> hyper::Result<(Result<Content, Outcome>, After)> {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > LARGEST_BODY) {
+            return Ok((Err(Outcome::Spoilt), After::Close));
         }
-        let body = match Limited::new(body, LARGEST_BODY).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => match error.downcast::<hyper::Error>() {
-                Ok(error) => return Err(*error),
-                // Too large to be passed on whole.
-                Err(_) => return spoilt,
-            },
-        };
-        let kept = head.version == Version::HTTP_11 && !names(&head.headers, CONNECTION, "close");
-        Ok((outcome(head.status, head.headers, body), kept))
-    };
-    tokio::pin!(talk);
-    let (ended, kept) = tokio::select! {
-        biased;
-        done = &mut talk => done?,
-        // The connection has ended: what it read before that is still to be taken.
-        _ = &mut connection => (talk.await?.0, false),
-    };
-    Ok((ended, kept && connection.into_parts().read_buf.is_empty()))
+        let room = self.pool.memory.try_take();
+        let large = room.is_none() || length.is_some_and(|length| length > READ_AHEAD as u64);
+        let held_back = Instant::now() + HELD_BACK;
+        let (mut ahead, mut size) = (VecDeque::new(), 0);
+        while size <= READ_AHEAD && !(large && size > 0) {
+            let frame = match length {
+                None if size > 0 => match timeout_at(held_back, body.frame()).await {
+                    Ok(frame) => frame,
+                    Err(_) => break,
+                },
+                _ => body.frame().await,
+            };
+            let Some(frame) = frame else {
+                let whole = ahead.into_iter().fold(BytesMut::new(), |mut whole, data: Bytes| {
+                    whole.extend_from_slice(&data);
+                    whole
+                });
+                return Ok((Ok(Content::Whole(whole.freeze())), After::Reuse));
+            };
+            if let Ok(data) = frame?.into_data() {
+                size += data.len();
+                ahead.push_back(data);
+            }
+        }
+        let (whole, over) = oneshot::channel();
+        let download = Download::new(ahead, body, length, whole, room);
+        Ok((Ok(Content::Streamed(Box::new(download))), After::Stream { over, kept: true }))
+    }
 }
 
 /// True if the head says once and plainly where its body ends. Guards against an answer that can't be told from
@@ -301,6 +435,8 @@
         && match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
             (Some(length), None, None, None) => digits(length),
             (None, None, Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+            // It ends with its connection, and says so.
+            (None, None, None, None) => names(&head.headers, CONNECTION, "close"),
             _ => false,
         }
 }
@@ -311,10 +447,10 @@
     texts.flat_map(|text| text.split(',')).any(|item| item.trim().eq_ignore_ascii_case(word))
 }
 
-fn outcome(status: StatusCode, headers: HeaderMap, body: Bytes) -> Ended {
+fn outcome(status: StatusCode, headers: &HeaderMap) -> Result<(), Outcome> {
     let not_started = headers.get("not-started").is_some_and(|value| value == "1");
     match status {
-        StatusCode::OK => Ok(Answer { headers, body }),
+        StatusCode::OK => Ok(()),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_started => {
             Err(Outcome::Rejected)
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -357,6 +357,8 @@
     pub remaining: f64,
     /// Expected work, seconds on a standard core.
     pub cost_hint: Option<f64>,
+    /// Its body still comes: it goes on to its upstream meanwhile, and `Event::Written` follows.
+    pub streamed: bool,
 }
 
 /// How one attempt ended. Each attempt ends once.
@@ -391,6 +393,8 @@
     },
     /// A request came in.
     Request(Request),
+    /// The last byte of this streamed request has gone to its upstream, whose time begins now.
+    Written(RequestId),
     /// The answer to this request has begun to stream; it belongs to the client now.
     Started(RequestId),
     /// An attempt ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,7 @@
 //!
 //! // The first request is sent, the second one is held: the slot is taken.
 //! let request = |id| Event::Request(Request {
-//!     id: RequestId(id), class: 0, tenant: 0, remaining: 2.0, cost_hint: None
+//!     id: RequestId(id), class: 0, tenant: 0, remaining: 2.0, cost_hint: None, streamed: false
 //! });
 //! balancer.handle(0.1, request(1), &mut actions);
 //! assert!(matches!(actions[0], Action::Send { id: RequestId(1), upstream: UpstreamId(1), .. }));
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,6 +42,8 @@
     pub(crate) id: RequestId,
     pub(crate) class: usize,
     pub(crate) sent: f64,
+    /// When its upstream had all of it; far off while its client still sends it.
+    pub(crate) whole: f64,
     pub(crate) usual: f64,
     /// For how long its connection had been idle.
     pub(crate) idle: f64,
@@ -108,6 +110,8 @@
     pub(crate) tries: Vec<Try>,
     /// Its client waits for less than the aim.
     pub(crate) hurried: bool,
+    /// Its body still comes.
+    pub(crate) streamed: bool,
     pub(crate) held_at: Option<UpstreamId>,
     pub(crate) hold_until: f64,
     pub(crate) concluded: bool,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -254,6 +254,7 @@
             tenant: line.get("team")?.unwrap_or(0),
             remaining: line.need_seconds("remaining")?,
             cost_hint: line.seconds("predicted")?,
+            streamed: false,
         }),
         "COMPLETED" => Event::Outcome(AttemptEnd {
             id: line.request()?,
