Leave an upstream out for the faults of all classes, not of each by itself

The log has the same server rest once for each class at each of two balancers, and again after each upgrade.

Ruled out: the sockets (0 requests ended at the door, none reset), the calls of operators (none late), refusals (0 to 4 %).

At fault is `judge`: a class had to see four errors in a row by itself, so that three classes paid twelve. Now the share of faults among all calls there counts too; only the class that has just failed rests, so one that is served goes on.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -667,22 +667,34 @@
         // elsewhere, but it has held a slot until it came back.
         let fault = matches!(outcome, Outcome::Error | Outcome::Rejected);
         let within = self.turns.order[..self.turns.reach as usize].iter().filter(|id| **id != upstream);
-        let shares = within.map(|id| self.upstreams[id].learned.health[1 + f.class].faults);
-        let (sum, peers) = shares.fold((0.0, 0.0), |(sum, peers), share| (sum + share, peers + 1.0));
+        let peers: Vec<_> = within.map(|id| &self.upstreams[id].learned.health).collect();
+        // Without peers there is nothing to compare with.
+        let usual_faults = |scope: usize| {
+            let sum: f64 = peers.iter().map(|health| health[scope].faults).sum();
+            if peers.is_empty() {
+                1.0
+            } else {
+                sum / peers.len() as f64
+            }
+        };
+        let name = &self.cfg.classes[f.class].name;
+        let scopes = [(0, "all calls"), (1 + f.class, name)].map(|(n, what)| (n, what, usual_faults(n)));
+        // Guards against learning once for each class what the calls of all classes tell together.
+        let mut fails_all = false;
         let health = &mut self.upstreams.get_mut(&upstream).expect("kept while in flight").learned.health;
         let mut logged = false;
-        let name = &self.cfg.classes[f.class].name;
-        for (scope, what) in [(0, "all calls"), (1 + f.class, name)] {
+        for (scope, what, usual_faults) in scopes {
             let h = &mut health[scope];
             h.heard = if lost { h.heard } else { self.now };
             if fault || outcome == Outcome::Ok {
                 h.faults += GAIN * (f64::from(u8::from(fault)) - h.faults);
             }
-            let outlier = scope > 0 && peers > 0.0 && h.faults > sum / peers + OUTLIER;
+            let outlier = h.faults > usual_faults + OUTLIER;
+            fails_all |= scope == 0 && outlier;
             if outcome == Outcome::Ok {
-                h.strikes = if outlier { h.strikes } else { 0 };
+                h.strikes = if outlier && scope > 0 { h.strikes } else { 0 };
             } else if lost && (h.heard <= f.sent || in_silence && scope > 0 && !common)
-                || fault && outlier && self.now >= h.rest_until
+                || fault && scope > 0 && (outlier || fails_all) && self.now >= h.rest_until
             {
                 h.strikes = (h.strikes + 1).min(MOST_STRIKES);
                 // One connection that breaks says little: if the process is gone, the next doesn't come up.
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -358,6 +358,28 @@
     assert!(taken[1..].iter().all(|n| *n > 20), "{taken:?}");
 }
 
+/// Calls of three classes in turn, of which one upstream of four fails every one; how many of each it draws.
+fn all_classes_fail(classes: [Effect; 3], calls: u64) -> [u32; 3] {
+    let classes = classes.map(class).to_vec();
+    let mut rig = Rig::new(one_attempt(Settings { classes, ..Settings::simple() }), 4);
+    let mut failed = [0; 3];
+    for id in 1..=calls {
+        let class = (id % 3) as usize;
+        let upstream = sends(&rig.on(request(id, class, 2.0)))[0].1;
+        rig.now += 0.01;
+        failed[class] += u32::from(upstream == 1);
+        rig.on(end(id, 0, if upstream == 1 { Outcome::Error } else { Outcome::Ok }));
+    }
+    failed
+}
+
+/// Guards against paying once for each class to learn that an upstream fails: what all calls there show counts.
+#[test]
+fn an_upstream_that_fails_all_classes_is_found_out_by_all_of_them_together() {
+    let failed = all_classes_fail([Effect::Unsafe; 3], 60);
+    assert!(failed.iter().sum::<u32>() <= 6, "{failed:?}; each by itself takes four");
+}
+
 /// An outcome that came this long after its call was sent.
 fn lost(id: u64, outcome: Outcome, elapsed: f64) -> Event {
     Event::Outcome(AttemptEnd {
