Leave trials of a failing upstream to calls that can be repeated

Ruled out: the rest as too short (it doubles with each failed trial).

At fault is `judge`: classes rested and tried each for itself. Now a repeatable class that fails makes the others wait twice its rest, and one that is answered lets them try at once. Without such a class nothing changes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -680,7 +680,7 @@
         let name = &self.cfg.classes[f.class].name;
         let scopes = [(0, "all calls"), (1 + f.class, name)].map(|(n, what)| (n, what, usual_faults(n)));
         // Guards against learning once for each class what the calls of all classes tell together.
-        let mut fails_all = false;
+        let (mut fails_all, mut struck, mut cleared) = (false, 0.0, false);
         let health = &mut self.upstreams.get_mut(&upstream).expect("kept while in flight").learned.health;
         let mut logged = false;
         for (scope, what, usual_faults) in scopes {
@@ -692,6 +692,7 @@
             let outlier = h.faults > usual_faults + OUTLIER;
             fails_all |= scope == 0 && outlier;
             if outcome == Outcome::Ok {
+                cleared |= scope > 0 && h.strikes > 0;
                 h.strikes = if outlier && scope > 0 { h.strikes } else { 0 };
             } else if lost && (h.heard <= f.sent || in_silence && scope > 0 && !common)
                 || fault && scope > 0 && (outlier || fails_all) && self.now >= h.rest_until
@@ -709,12 +710,23 @@
                 let silence = if in_silence { end.elapsed } else { 0.0 };
                 let rest = (REST * usual * f64::from(1 << h.strikes)).max(silence);
                 h.rest_until = self.now + rest;
+                struck = if scope > 0 { rest } else { struck };
                 let text = format!("{what} rest for {rest:.1} s after {outcome:?}");
                 let line = Action::Log { upstream: Some(upstream), text };
                 actions.extend((h.strikes == first && !logged).then_some(line));
                 logged = true;
             }
         }
+        // Guards against losing calls that can't be repeated to trials: where one that can be tells as much,
+        // the others come after it, and wait longer if it fails.
+        if self.cfg.classes[f.class].effect != Effect::Unsafe && (struck > 0.0 || cleared) {
+            let after = if cleared { self.now } else { self.now + 2.0 * struck };
+            for (h, class) in health[1..].iter_mut().zip(&self.cfg.classes) {
+                if h.strikes > 0 && class.effect == Effect::Unsafe {
+                    h.rest_until = if cleared { h.rest_until.min(after) } else { h.rest_until.max(after) };
+                }
+            }
+        }
     }
 
     /// The call's last attempt came back without an answer: once more, if that does no harm and can help.
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -380,6 +380,18 @@
     assert!(failed.iter().sum::<u32>() <= 6, "{failed:?}; each by itself takes four");
 }
 
+/// Guards against losing a call that can't be repeated to each trial of an upstream that fails, where one that can
+/// be repeated tells as much.
+#[test]
+fn trials_of_a_failing_upstream_are_left_to_calls_that_can_be_repeated() {
+    let mixed = all_classes_fail([Effect::Safe, Effect::Unsafe, Effect::Unsafe], 6000);
+    assert!(mixed[0] >= 4, "{mixed:?}: it is tried");
+    assert!(mixed[1] + mixed[2] <= 6, "{mixed:?}");
+    // Nobody else can try it for them.
+    let alike = all_classes_fail([Effect::Unsafe; 3], 6000);
+    assert!(alike.iter().all(|failed| *failed >= 4), "{alike:?}");
+}
+
 /// An outcome that came this long after its call was sent.
 fn lost(id: u64, outcome: Outcome, elapsed: f64) -> Event {
     Event::Outcome(AttemptEnd {
