Hand what the module has learned to the process that takes over

Ruled out: the hand-over of connections (0 requests ended at the door).

The state file now has what the module has learned, written when the new process says hello. The module takes over what still fits: not of upstreams that have started again, nor what is older than the time in which one warms up.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -5,7 +5,7 @@
 //! a finishing call frees a slot, and is given up when its hold time runs out. In order of a call's life.
 
 use crate::interface::*;
-use crate::state::{Call, Flight, Health, IdleTrust, Learned, Rate, Try, Turns, Upstream, Usual};
+use crate::state::{Call, Flight, Health, IdleTrust, Knowledge, Learned, Rate, Try, Turns, Upstream, Usual};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
@@ -130,6 +130,47 @@
         (self.calls.len(), slots, self.upstreams.len())
     }
 
+    /// What has been learned so far.
+    pub fn knowledge(&self) -> Knowledge {
+        let learned =
+            |(id, u): (&UpstreamId, &Upstream)| (id.0, (u.entry.since, u.returned, u.learned.clone()));
+        Knowledge {
+            at: self.now,
+            upstreams: self.upstreams.iter().map(learned).collect(),
+            usual: self.usual.clone(),
+            rates: self.rates.clone(),
+            paces: self.turns.paces.clone(),
+            reach: self.turns.reach,
+            pass: self.turns.pass,
+            met_crowd: self.turns.met_crowd,
+            strain: self.strain,
+        }
+    }
+
+    /// Takes over what another balancer with these settings has learned. Guards against learning anew, at the
+    /// cost of calls, what the process before knew. What is older than the time in which an upstream warms up
+    /// says nothing any more, nor does what is known of an upstream that has started again.
+    pub fn recall(&mut self, now: f64, knowledge: Knowledge) {
+        self.now = self.now.max(now);
+        let classes = self.cfg.classes.len();
+        let fits = knowledge.usual.len() == classes && knowledge.rates.len() == self.cfg.tenants.len();
+        // Their clocks may differ a little.
+        if !fits || (self.now - knowledge.at).abs() >= self.cfg.rules.cold {
+            return;
+        }
+        for (id, (since, returned, learned)) in knowledge.upstreams {
+            let listed = self.upstreams.get_mut(&UpstreamId(id)).filter(|u| u.entry.since == since);
+            if let Some(u) = listed.filter(|_| learned.health.len() == classes + 1 && learned.width > 0.0) {
+                (u.returned, u.learned) = (returned, learned);
+            }
+        }
+        (self.usual, self.rates, self.strain) = (knowledge.usual, knowledge.rates, knowledge.strain);
+        self.turns.paces = knowledge.paces;
+        (self.turns.pass, self.turns.met_crowd) = (knowledge.pass, knowledge.met_crowd);
+        let most = (self.turns.order.len() as f64).max(self.turns.home);
+        self.turns.reach = knowledge.reach.clamp(self.turns.home, most);
+    }
+
     /// Upstreams of the list that get no call of any class now, though the list would let them.
     pub fn excluded(&self) -> usize {
         let avoided = |u: &&Upstream| u.out || (0..self.cfg.classes.len()).all(|class| !self.fit(u, class));
--- a/src/bin/magpiechute/console.rs
+++ b/src/bin/magpiechute/console.rs
@@ -174,7 +174,7 @@
                     return text(StatusCode::NOT_FOUND, "no such upstream");
                 }
                 // Guards against a yes that an upgrade would undo.
-                match self.upgrade.save() {
+                match self.upgrade.keep() {
                     Ok(()) => text(StatusCode::OK, "done"),
                     Err(error) => {
                         log::line(format!("console: the state can't be kept: {error}"));
--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use ryequay::{
-    Action, AttemptEnd, Balancer, Class, Discovery, Event, ListScope, Outcome, Request, RequestId,
+    Action, AttemptEnd, Balancer, Class, Discovery, Event, Knowledge, ListScope, Outcome, Request, RequestId,
     UpstreamEntry, UpstreamId, UpstreamState,
 };
 use std::cell::{Cell, RefCell};
@@ -273,6 +273,16 @@
         self.memory.clone()
     }
 
+    /// What the module has learned.
+    pub fn knowledge(&self) -> Knowledge {
+        self.balancer.knowledge()
+    }
+
+    /// Gives the module what the one before has learned.
+    pub fn recall(&mut self, knowledge: Knowledge) {
+        self.balancer.recall(self.clock.at(Instant::now()), knowledge);
+    }
+
     /// The request classes.
     pub fn classes(&self) -> &[Class] {
         &self.classes
--- a/src/bin/magpiechute/upgrade.rs
+++ b/src/bin/magpiechute/upgrade.rs
@@ -6,6 +6,7 @@
 use crate::log;
 use crate::server::Server;
 use crate::socket::Budget;
+use ryequay::Knowledge;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -28,12 +29,15 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
 
 /// What outlasts a process.
-#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 struct State {
     /// Whose it is: the address where clients connect.
     balancer: String,
     /// Upstreams that the operators have left out.
     out: BTreeSet<String>,
+    /// What the module has learned.
+    #[serde(default)]
+    knowledge: Knowledge,
 }
 
 /// What one process tells the other, a line each.
@@ -89,21 +93,32 @@
         Some(self.folder.as_ref()?.join(format!("magpiechute-{}.{kind}", self.address.get())))
     }
 
-    /// Writes down what has to outlast this process, and tells the other one.
-    pub fn save(&self) -> io::Result<()> {
-        let Some(path) = self.path("state") else { return Ok(()) };
-        let out = self.driver.borrow().left_out().map(str::to_string).collect();
-        State { balancer: self.address.get().to_string(), out }.write(&path)?;
+    /// Writes down what the operators have said, and tells the other process.
+    pub fn keep(&self) -> io::Result<()> {
+        self.save()?;
         self.tell(Line::State);
         Ok(())
     }
 
-    /// Does what the file says.
-    fn restore(&self) {
-        let Some(path) = self.path("state") else { return };
-        match State::read(&path, self.address.get()) {
-            Ok(state) => self.driver.borrow_mut().leave_out(&state.out),
-            Err(why) => log::line(format!("nothing is known of a process before: {why}")),
+    /// Writes down what has to outlast this process.
+    fn save(&self) -> io::Result<()> {
+        let Some(path) = self.path("state") else { return Ok(()) };
+        let out = self.driver.borrow().left_out().map(str::to_string).collect();
+        let knowledge = self.driver.borrow().knowledge();
+        State { balancer: self.address.get().to_string(), out, knowledge }.write(&path)
+    }
+
+    /// Does what the operators have said to the other process, or the one before.
+    fn restore(&self) -> Option<Knowledge> {
+        match State::read(&self.path("state")?, self.address.get()) {
+            Ok(state) => {
+                self.driver.borrow_mut().leave_out(&state.out);
+                Some(state.knowledge)
+            }
+            Err(why) => {
+                log::line(format!("nothing is known of a process before: {why}"));
+                None
+            }
         }
     }
 
@@ -123,9 +138,10 @@
                 log::line("the other process does not say what it holds".into());
             }
         }
-        // Only now: what it changed until it heard of this process stands in the file, and what it changes after that
-        // is told.
-        self.restore();
+        // Only now: what it knew when it heard of this process stands in the file, and what changes after that is told.
+        if let Some(knowledge) = self.restore() {
+            self.driver.borrow_mut().recall(knowledge);
+        }
         self.other.borrow().is_some()
     }
 
@@ -192,6 +208,9 @@
         while let Ok(Some(line)) = lines.next_line().await {
             match serde_json::from_str(&line) {
                 Ok(Line::Hello) => {
+                    if let Err(error) = self.save() {
+                        log::line(format!("the new process learns nothing from this one: {error}"));
+                    }
                     let share = self.sockets / 2;
                     self.budget.limit(share);
                     self.server.make_room_down_to(share).await;
@@ -202,7 +221,7 @@
                     heard.notify_one();
                 }
                 Ok(Line::Ready) => self.replaced.set(true),
-                Ok(Line::State) => self.restore(),
+                Ok(Line::State) => drop(self.restore()),
                 Err(error) => return log::line(format!("the other process can't be understood: {error}")),
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,3 +57,4 @@
 
 pub use balance::Balancer;
 pub use interface::*;
+pub use state::Knowledge;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a balancer keeps in mind: types and plain bookkeeping, no decisions.
 
 use crate::interface::{Outcome, RequestId, Rules, UpstreamEntry, UpstreamId, UpstreamState};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The turn over the upstreams, and how far it reaches.
@@ -27,6 +28,22 @@
     pub(crate) paces: BTreeMap<usize, f64>,
 }
 
+/// What a balancer has learned, for the one that takes its place. Nothing in it has to hold: whoever recalls it
+/// takes over what still fits.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Knowledge {
+    pub(crate) at: f64,
+    /// Of each upstream: when it had started, when it was put back, and what was learned of it.
+    pub(crate) upstreams: BTreeMap<u64, (f64, f64, Learned)>,
+    pub(crate) usual: Vec<Usual>,
+    pub(crate) rates: Vec<Rate>,
+    pub(crate) paces: BTreeMap<usize, f64>,
+    pub(crate) reach: f64,
+    pub(crate) pass: f64,
+    pub(crate) met_crowd: bool,
+    pub(crate) strain: f64,
+}
+
 /// How long an idle connection is trusted, and signs that this is too long.
 pub(crate) struct IdleTrust {
     pub(crate) trust: f64,
@@ -65,7 +82,7 @@
 }
 
 /// What a caller thinks of an upstream; void once its process restarts.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Learned {
     /// Its slice over the even one.
     pub(crate) width: f64,
@@ -84,7 +101,7 @@
 }
 
 /// How the calls of one scope fare at an upstream.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Health {
     /// When one was last answered.
     pub(crate) heard: f64,
@@ -118,7 +135,7 @@
 }
 
 /// Requests a second of one tenant, as a fading mean, and when that was.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Rate {
     mean: f64,
     at: f64,
@@ -138,6 +155,7 @@
 }
 
 /// Latency of a class and the work of one request, as moving means.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Usual {
     pub(crate) time: f64,
     pub(crate) work: f64,
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -780,3 +780,39 @@
     let heavy: Vec<_> = (100..104).map(|id| call(&mut rig, id, 0.4)).collect();
     assert_eq!(heavy, [1, 1, 1, 1]);
 }
+
+/// Guards against paying again, after an upgrade, for what the process before had learned.
+#[test]
+fn a_balancer_that_takes_another_s_place_recalls_what_that_one_learned() {
+    let settings = || one_attempt(Settings { classes: vec![class(Effect::Unsafe)], ..Settings::simple() });
+    let run = |rig: &mut Rig, ids: std::ops::Range<u64>| {
+        let mut drawn = 0;
+        for id in ids {
+            let upstream = sends(&rig.on(request(id, 0, 2.0)))[0].1;
+            rig.now += 0.002;
+            drawn += u32::from(upstream == 1);
+            rig.on(end(id, 0, if upstream == 1 { Outcome::Error } else { Outcome::Ok }));
+        }
+        drawn
+    };
+    let mut old = Rig::new(settings(), 4);
+    assert!(run(&mut old, 1..40) >= 4, "what it costs to learn that one fails");
+    let text = serde_json::to_string(&old.balancer.knowledge()).unwrap();
+    let drawn = |later: f64, restarted: bool| {
+        let mut new = Rig::new(settings(), 4);
+        new.now = old.now + later;
+        if restarted {
+            let now = new.now - 50.0;
+            new.list(ListScope::Delta, vec![UpstreamEntry { since: now, ..entry(1) }]);
+        }
+        new.balancer.recall(new.now, serde_json::from_str(&text).unwrap());
+        run(&mut new, 1..40)
+    };
+    assert_eq!(drawn(0.1, false), 0);
+    assert!(drawn(0.1, true) >= 4, "it may be another program now");
+    assert!(drawn(60.0, false) >= 4, "too long ago");
+    // Settings that have changed fit nothing.
+    let mut other = Rig::with_classes(&[Effect::Safe, Effect::Unsafe], 4);
+    other.balancer.recall(old.now, serde_json::from_str(&text).unwrap());
+    assert!(other.fill(1, 0) > 1);
+}
