Let the first answers of an upstream weigh more when its faults are judged

Ruled out: what is handed on at an upgrade, which takes hold later.

At fault is the moving mean of faults in `judge`: it starts at nothing and takes four errors in a row to speak, also where there is nothing else to go by. It now starts as a mean over the answers so far, with three good ones presumed.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -44,6 +44,8 @@
 const MOST_STRIKES: i32 = 4;
 /// An upstream whose share of errors in a class is by so much larger than that of its peers fails by itself.
 const OUTLIER: f64 = 0.3;
+/// An upstream is believed to serve until seen otherwise, as if it had answered so many calls.
+const BELIEF: f64 = 3.0;
 /// Share of the time that the pass of a crowded caller is open where an even slice would be less.
 const OPEN: f64 = 0.5;
 /// A refused client comes back after this share of the usual latency: of a few calls, one has ended by then.
@@ -728,7 +730,8 @@
             let h = &mut health[scope];
             h.heard = if lost { h.heard } else { self.now };
             if fault || outcome == Outcome::Ok {
-                h.faults += GAIN * (f64::from(u8::from(fault)) - h.faults);
+                h.answers += 1.0;
+                h.faults += GAIN.max(1.0 / (h.answers + BELIEF)) * (f64::from(u8::from(fault)) - h.faults);
             }
             let outlier = h.faults > usual_faults + OUTLIER;
             fails_all |= scope == 0 && outlier;
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,8 +105,9 @@
 pub(crate) struct Health {
     /// When one was last answered.
     pub(crate) heard: f64,
-    /// Share of errors and turn-aways among its answers, as a moving mean.
+    /// Share of errors and turn-aways among its answers, as a moving mean, and how many there were.
     pub(crate) faults: f64,
+    pub(crate) answers: f64,
     pub(crate) strikes: i32,
     pub(crate) rest_until: f64,
 }
