Make room for requests by closing connections that only asked for health

Ruled out: the module (the refusals do not stand in its counts), descriptors held by upstreams (54 of 138), the eviction of silent connections, which works.

At fault is `dearness`: one that had its health check answered counted as a client between two requests, and was kept for half a second. It now goes as soon as one that never sent anything. The kernel is asked whether a connection is quiet for the few that are to go, no longer for all.

--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -58,6 +58,8 @@
     idle: Cell<Option<Instant>>,
     /// It has carried no whole request yet.
     fresh: Cell<bool>,
+    /// It has carried a request that was taken, not just asked for health.
+    asked: Cell<bool>,
     /// An answer is on its way in parts.
     streaming: Cell<bool>,
     closing: Cell<bool>,
@@ -75,6 +77,7 @@
             opened,
             idle: Cell::new(Some(opened)),
             fresh: Cell::new(true),
+            asked: Cell::new(false),
             streaming: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
@@ -117,20 +120,20 @@
     }
 
     /// How dear it is, if it may be closed to make room. Those that have waited long for a further request go first,
-    /// then those that have never sent anything, those that don't finish their first request, and at last any that
-    /// wait for a further one; among the same, the longest.
+    /// then those that have never sent anything or only asked for health, those that don't finish their first
+    /// request, and at last any that wait for a further one; among the same, the longest.
     fn dearness(&self) -> Option<(usize, Instant)> {
         let since = self.idle.get().filter(|_| !self.evicting.get())?;
         let age = since.elapsed();
         let kind = match (self.fresh.get(), self.socket.read()) {
             (false, _) if age >= SPARE => 0,
             (true, 0) if age >= SILENT => 1,
+            (false, _) if age >= SILENT && !self.asked.get() => 1,
             (true, 1..) if age >= HALF_SENT => 2,
             (false, _) if age >= HALF_SENT => 3,
             _ => return None,
         };
-        // Guards against closing on a request that has come and is still unread.
-        self.socket.is_quiet().then_some((kind, since))
+        Some((kind, since))
     }
 }
 
@@ -288,7 +291,13 @@
         {
             let clients = self.clients.borrow();
             let spare = clients.values().filter_map(|client| Some((client.dearness()?, client)));
-            let Some((_, client)) = spare.min_by_key(|(dearness, _)| *dearness) else { return false };
+            let mut spare: Vec<_> = spare.collect();
+            spare.sort_unstable_by_key(|(dearness, _)| *dearness);
+            // Guards against closing on a request that has come and is still unread. Asking the kernel is dear, so
+            // it is asked of few.
+            let Some((_, client)) = spare.iter().find(|(_, client)| client.socket.is_quiet()) else {
+                return false;
+            };
             client.evicting.set(true);
             client.evicted.notify_one();
         }
@@ -359,6 +368,11 @@
         self.clients.borrow_mut().remove(&number);
     }
 
+    fn class_of(&self, path: &str) -> Option<usize> {
+        let name = path.split('/').nth(1).unwrap_or_default();
+        self.driver.borrow().names().classes.iter().position(|class| class == name)
+    }
+
     async fn answer(&self, request: Request<Incoming>, client: &Rc<Client>) -> Answer {
         if request.uri().path() == "/healthz" {
             return match self.is_ready() {
@@ -372,6 +386,7 @@
         };
         let upload = taken.forward.upload.clone();
         client.fresh.set(false);
+        client.asked.set(true);
         let request = self.stats.take(taken.class);
         let (id, answer) = match self.driver.borrow_mut().take(taken) {
             Ok(taken) => taken,
@@ -441,9 +456,7 @@
         };
         let (class, tenant, limit) = {
             let driver = self.driver.borrow();
-            let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-            let class = driver.names().classes.iter().position(|class| class == name);
-            let class = class.ok_or_else(|| bad("the path names no known class"))?;
+            let class = self.class_of(head.uri.path()).ok_or_else(|| bad("the path names no known class"))?;
             let tenants = &driver.names().tenants;
             let tenant = header("tenant")?;
             // One that the settings don't name has no quota, and so no number among them.
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -184,3 +184,25 @@
     assert_eq!(program.figure("upstreams_excluded"), 0);
     assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
 }
+
+/// Guards against clients that are turned away for the sake of connections that only asked for health.
+#[test]
+fn connections_that_only_asked_for_health_make_room_for_requests() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let healthy: Vec<_> = (0..200)
+        .map(|_| {
+            let mut client = program.client();
+            // Where there is no room for it, it is told so.
+            client.ask("/healthz", "", "");
+            client
+        })
+        .collect();
+    // Long enough that each may go; more does no harm.
+    sleep(Duration::from_millis(60));
+    let mut clients: Vec<_> = (0..40).map(|_| program.client()).collect();
+    for client in &mut clients {
+        assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
+    }
+    drop(healthy);
+}
