Count requests that are refused for want of a descriptor

At fault is `serve`: a connection beyond the budget is told 503 without its request being looked at. One that names a class and itself is now counted.

--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -326,7 +326,7 @@
             async move {
                 client.idle.set(Some(if client.fresh.get() { client.opened } else { Instant::now() }));
                 let mut answer = match refused {
-                    true => plain(StatusCode::SERVICE_UNAVAILABLE, "no descriptor is free"),
+                    true => server.refuse(&request),
                     false => server.answer(request, client).await,
                 };
                 client.fresh.set(false);
@@ -368,6 +368,14 @@
         self.clients.borrow_mut().remove(&number);
     }
 
+    /// There is no room for whoever asks. A request is refused like any other, and counted.
+    fn refuse(&self, request: &Request<Incoming>) -> Answer {
+        let class =
+            self.class_of(request.uri().path()).filter(|_| request.headers().contains_key("request-id"));
+        class.into_iter().for_each(|class| self.stats.take(class).end(Ending::Refused));
+        plain(StatusCode::SERVICE_UNAVAILABLE, "no descriptor is free")
+    }
+
     fn class_of(&self, path: &str) -> Option<usize> {
         let name = path.split('/').nth(1).unwrap_or_default();
         self.driver.borrow().names().classes.iter().position(|class| class == name)
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -206,3 +206,23 @@
     }
     drop(healthy);
 }
+
+/// Guards against figures that leave out who was turned away for want of room.
+#[test]
+fn a_request_refused_for_want_of_room_is_counted() {
+    // So many that the module turns nobody away.
+    let upstreams: Vec<_> = (0..12).map(|_| Upstream::start(Reply::Silent)).collect();
+    let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let (program, _discovery) = Program::with_console(&addresses);
+    let mut busy: Vec<_> = (0..160).map(|_| program.client()).collect();
+    busy.iter_mut().for_each(|client| client.send("/pay", ID, "coins").unwrap());
+    let mut refused = 0;
+    until("one has no room", || {
+        let mut client = program.client();
+        // It may be closed at once, with no room even for a word.
+        let answer = client.send("/read", ID, "").and_then(|()| client.receive());
+        refused += u64::from(answer.is_ok_and(|answer| answer.is_some_and(|answer| answer.status() == 503)));
+        refused > 0
+    });
+    assert_eq!(program.figure("refused.read"), refused);
+}
