--- a/src/bin/magpiechute/bodies.rs
+++ b/src/bin/magpiechute/bodies.rs
@@ -32,8 +32,8 @@
 const HESITATION: Duration = Duration::from_millis(800);
 /// Of a body that is being streamed the next part comes within this time: its client has shown that it sends,
 const CLIENT_STALL: Duration = Duration::from_secs(3);
-/// and an upstream that it answers.
-const UPSTREAM_STALL: Duration = Duration::from_secs(8);
+/// and an upstream that it answers: one may stand still for over twenty seconds and go on.
+const UPSTREAM_STALL: Duration = Duration::from_secs(30);
 
 /// Why a body ends before its end.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -103,8 +103,13 @@
         Upload { ahead, rest: RefCell::new(rest), length, read, moved, spent, broken, whole, _room: room }
     }
 
-    /// Reads ahead. Whoever has sent little so far has until `first` at the least.
-    pub async fn read(mut body: Incoming, memory: &Memory, first: Instant) -> Result<Self, Broken> {
+    /// Reads ahead. Whoever has sent little so far has until `first` at the least, and nobody longer than `settled`.
+    pub async fn read(
+        mut body: Incoming,
+        memory: &Memory,
+        first: Instant,
+        settled: &Cell<Option<Instant>>,
+    ) -> Result<Self, Broken> {
         let length = body.size_hint().exact();
         if body.size_hint().lower() > LARGEST_BODY {
             return Err(Broken::TooLarge);
@@ -118,7 +123,9 @@
         let mut ahead = BytesMut::new();
         while ahead.len() < READ_AHEAD {
             let least = begun + HESITATION + Duration::from_secs_f64(ahead.len() as f64 / LEAST_RATE);
-            match timeout_at(first.max(least), body.frame()).await {
+            let until = first.max(least);
+            let until = settled.get().map_or(until, |settled| until.min(settled));
+            match timeout_at(until, body.frame()).await {
                 Ok(Some(Ok(frame))) => ahead.extend(frame.into_data().unwrap_or_default()),
                 Ok(Some(Err(_))) => return Err(Broken::Cut),
                 Ok(None) => {
--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -623,6 +623,12 @@
         self.timers.push(Reverse((at, due)));
     }
 
+    /// The process is to end: what is open has its answer by then.
+    pub fn settle(&mut self, settled: Instant) {
+        let open: Vec<_> = self.open.keys().copied().collect();
+        open.into_iter().for_each(|id| self.schedule(settled - LAST_CALL, Due::LastCall(id)));
+    }
+
     /// When a request that is open has to have its answer.
     fn last_call(&self, id: RequestId) -> Option<Instant> {
         self.open.get(&id).map(|open| open.forward.deadline() - LAST_CALL)
@@ -643,9 +649,13 @@
                     self.last_call(id).into_iter().for_each(|at| self.schedule(at, due));
                 }
                 Due::LastCall(id) => {
-                    if self.open.get(&id).is_some_and(|open| open.reply.is_some()) {
+                    let open = self.open.get(&id).filter(|open| open.reply.is_some());
+                    if let Some(unsent) = open.map(|open| open.forward.upload.is_streamed()) {
                         log::line(format!("request {} had no decision in time", id.0));
-                        self.answer(id, Final::Failed);
+                        // No upstream begins before the last byte.
+                        let answer =
+                            if unsent { Final::Refused { retry_after: None } } else { Final::Failed };
+                        self.answer(id, answer);
                         self.tell(Event::ClientGone(id));
                     }
                 }
@@ -708,7 +718,7 @@
     fn request(wait: Duration) -> Taken {
         let (method, uri, headers) = (Method::GET, Uri::from_static("/call"), HeaderMap::new());
         let upload = Rc::new(Upload::empty());
-        let forward = Forward { method, uri, headers, upload, wait, settled: None };
+        let forward = Forward { method, uri, headers, upload, wait, settled: Rc::default() };
         thread_local!(static LAST: Cell<u64> = const { Cell::new(0) });
         let name = LAST.with(|last| last.replace(last.get() + 1).to_string());
         Taken { name, class: 0, tenant: 0, cost_hint: None, forward }
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -34,6 +34,9 @@
 const GRACE: Duration = Duration::from_millis(200);
 /// A connection whose next request takes longer to come, or whose client takes its answer no faster, is closed.
 const IDLE: Duration = Duration::from_secs(10);
+/// Nor does one last whose client takes nothing of a long answer for this time. The kernel holds megabytes for it, and
+/// wants more only when a good part is gone: at 64 kB a second that takes half a minute.
+const TAKES_NOTHING: Duration = Duration::from_secs(60);
 /// The same while shutting down, or for one that is only to be refused.
 const HURRIED: Duration = Duration::from_millis(1500);
 /// When room is short, connections without a request may be closed after this time,
@@ -44,6 +47,8 @@
 const HALF_SENT: Duration = Duration::from_millis(500);
 /// Once clients are sent away, the front has noticed after this time, and what is idle is closed.
 const FRONT_NOTICES: Duration = Duration::from_millis(700);
+/// After SIGTERM what has come by then may still be open when the process is killed, and what comes later may not.
+const LATE: Duration = Duration::from_millis(500);
 const LARGEST_HEAD: usize = 32 << 10;
 const MOST_HEADERS: usize = 100;
 const LONGEST_ID: usize = 128;
@@ -86,6 +91,12 @@
         })
     }
 
+    /// It waits for its next request.
+    fn rest(&self) {
+        self.idle.set(Some(Instant::now()));
+        self.socket.rest();
+    }
+
     /// Closes it once it carries no request.
     fn close(&self) {
         self.closing.set(true);
@@ -103,14 +114,16 @@
         let most = || if self.closing.get() { HURRIED } else { IDLE };
         loop {
             let now = Instant::now();
-            let until = match self.idle.get() {
-                Some(since) => {
+            let until = match (self.idle.get(), self.socket.asking()) {
+                // It may take its time for a head, also while the process ends.
+                (Some(_), Some(asking)) => self.first_request().unwrap_or(asking + FIRST_REQUEST) + GRACE,
+                (Some(since), None) => {
                     // A client that takes what it is given is not idle.
                     let since = since.max(self.socket.last_written());
                     self.first_request().map_or(since + IDLE, |first| first + GRACE).min(since + most())
                 }
-                None if self.streaming.get() => self.socket.last_written() + IDLE,
-                None => now + HURRIED,
+                (None, _) if self.streaming.get() => self.socket.last_written() + TAKES_NOTHING,
+                (None, _) => now + HURRIED,
             };
             if until <= now {
                 return;
@@ -125,12 +138,12 @@
     fn dearness(&self) -> Option<(usize, Instant)> {
         let since = self.idle.get().filter(|_| !self.evicting.get())?;
         let age = since.elapsed();
-        let kind = match (self.fresh.get(), self.socket.read()) {
-            (false, _) if age >= SPARE => 0,
-            (true, 0) if age >= SILENT => 1,
-            (false, _) if age >= SILENT && !self.asked.get() => 1,
-            (true, 1..) if age >= HALF_SENT => 2,
-            (false, _) if age >= HALF_SENT => 3,
+        let kind = match (self.fresh.get(), self.socket.asking()) {
+            (false, None) if age >= SPARE => 0,
+            (true, None) if age >= SILENT => 1,
+            (false, None) if age >= SILENT && !self.asked.get() => 1,
+            (_, Some(asking)) if asking.elapsed() >= HALF_SENT => 2,
+            (false, None) if age >= HALF_SENT => 3,
             _ => return None,
         };
         Some((kind, since))
@@ -146,7 +159,9 @@
     /// Clients' connections are taken.
     listens: Cell<bool>,
     /// The process is to end: by then all that comes from now on has its answer.
-    draining: Cell<Option<Instant>>,
+    draining: Rc<Cell<Option<Instant>>>,
+    /// What comes after this may still be open when the process is killed, and then it is lost.
+    late: Cell<Option<Instant>>,
     /// Clients are sent away; a number for each time that this began, none while they are welcome.
     away: Cell<Option<u64>>,
     last_away: Cell<u64>,
@@ -177,7 +192,8 @@
             clients: RefCell::default(),
             accepted: Cell::new(0),
             listens: Cell::new(false),
-            draining: Cell::new(None),
+            draining: Rc::default(),
+            late: Cell::new(None),
         })
     }
 
@@ -204,6 +220,8 @@
     /// left alone: its first request is on its way, and is settled by `settled`.
     pub fn drain(&self, settled: Instant) {
         self.draining.set(Some(settled));
+        self.late.set(Some(Instant::now() + LATE));
+        self.driver.borrow_mut().settle(settled);
         self.clients.borrow().values().filter(|client| !client.fresh.get()).for_each(|client| client.close());
         self.driver.borrow().pool().clear();
     }
@@ -335,7 +353,7 @@
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 if !client.streaming.get() {
-                    client.idle.set(Some(Instant::now()));
+                    client.rest();
                 }
                 Ok::<_, Infallible>(answer)
             }
@@ -349,9 +367,10 @@
                     // A client that breaks off or sends nonsense has been told so by hyper.
                     _ = connection.as_mut() => break,
                     () = client.close.notified() => {
-                        // Guards against closing on a request that has come and is still unread: its answer is
+                        // Guards against closing on a request of which a part has come, read or not: its answer is
                         // going to end the connection.
-                        if client.idle.get().is_none() || client.socket.is_quiet() {
+                        let rests = client.socket.asking().is_none() && client.socket.is_quiet();
+                        if client.idle.get().is_none() || rests {
                             connection.as_mut().graceful_shutdown();
                         }
                     }
@@ -411,6 +430,7 @@
         let _gone = Gone { driver: &self.driver, id };
         let answer = answer.await;
         if upload.is_streamed() {
+            let upload = upload.clone();
             spawn_local(async move { upload.discard().await });
         }
         match answer {
@@ -420,6 +440,12 @@
                         request.end(Ending::Served);
                         Reply::whole(body)
                     }
+                    // Guards against a long answer that the end of the process cuts off, though its request came
+                    // when that was near: it could not be finished for a slow client.
+                    Content::Streamed(_) if self.late.get().is_some_and(|late| upload.moved() > late) => {
+                        request.end(Ending::Failed);
+                        return plain(StatusCode::BAD_GATEWAY, "too long an answer for a process that ends");
+                    }
                     Content::Streamed(download) => {
                         Reply::streamed(download, request, Box::new(Streaming::begin(client)))
                     }
@@ -506,7 +532,8 @@
         let first = client.first_request().unwrap_or(came + IDLE);
         // Its body is timed by itself.
         client.idle.set(None);
-        let upload = Upload::read(body, &self.memory, first).await.map_err(|broken| {
+        let read = Upload::read(body, &self.memory, first, &self.draining);
+        let upload = read.await.map_err(|broken| {
             let status = match broken {
                 Broken::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
                 Broken::Stalled => StatusCode::REQUEST_TIMEOUT,
@@ -528,7 +555,7 @@
             None => return Err(bad("the path is missing")),
         };
         // Guards against a request that is still open when the process is killed, and so is lost.
-        let settled = self.draining.get();
+        let settled = self.draining.clone();
         let upload = Rc::new(upload);
         let forward = Forward { method: head.method, uri, headers, upload, wait, settled };
         Ok(Taken { name, class, tenant, cost_hint, forward })
@@ -550,7 +577,7 @@
 impl Drop for Streaming {
     fn drop(&mut self) {
         self.0.streaming.set(false);
-        self.0.idle.set(Some(Instant::now()));
+        self.0.rest();
     }
 }
 
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -129,6 +129,8 @@
     most_read: Cell<usize>,
     written: Cell<usize>,
     last_written: Cell<Instant>,
+    /// When the first byte came since it was last at rest.
+    asking: Cell<Option<Instant>>,
     /// The bytes that were read last from a client.
     recent: RefCell<Vec<u8>>,
     keeps_recent: bool,
@@ -160,6 +162,7 @@
         let _ = stream.set_nodelay(true);
         let (read, most_read) = (Cell::new(0), Cell::new(usize::MAX));
         let (written, wants_quiet) = (Cell::new(0), Cell::new(false));
+        let asking = Cell::new(None);
         let (last_written, recent, whole) =
             (Cell::new(Instant::now()), RefCell::default(), RefCell::default());
         Socket(Rc::new(Inner {
@@ -168,6 +171,7 @@
             most_read,
             written,
             last_written,
+            asking,
             recent,
             keeps_recent,
             whole,
@@ -221,6 +225,16 @@
         self.0.last_written.get()
     }
 
+    /// It is at rest: what comes now begins something new.
+    pub fn rest(&self) {
+        self.0.asking.set(None);
+    }
+
+    /// When the first byte came since it was last at rest.
+    pub fn asking(&self) -> Option<Instant> {
+        self.0.asking.get()
+    }
+
     /// The bytes that were read last, for as many as are kept.
     pub fn recent(&self) -> Ref<'_, Vec<u8>> {
         self.0.recent.borrow()
@@ -258,6 +272,9 @@
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(count) => {
                     self.0.read.set(self.read() + count);
+                    if count > 0 && self.asking().is_none() {
+                        self.0.asking.set(Some(Instant::now()));
+                    }
                     // Guards against an answer that goes on for ever.
                     if self.read() > self.0.most_read.get() {
                         return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -61,15 +61,15 @@
     pub upload: Rc<Upload>,
     /// Its client waits for so long from its last byte on.
     pub wait: Duration,
-    /// It is to be settled by then in any case.
-    pub settled: Option<Instant>,
+    /// It is to be settled by then in any case, if this is said of the process.
+    pub settled: Rc<Cell<Option<Instant>>>,
 }
 
 impl Forward {
     /// When its client gives up, if it sends nothing more.
     pub fn deadline(&self) -> Instant {
         let deadline = self.upload.moved() + self.wait;
-        self.settled.map_or(deadline, |settled| deadline.min(settled))
+        self.settled.get().map_or(deadline, |settled| deadline.min(settled))
     }
 }
 
