Keep connections with a half request or an unwritten answer, and settle all before SIGKILL

Logged for one play: on the drain, connections end as idle 1.5 s after their answer was handed to hyper, while the kernel takes no more.

--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -115,6 +115,8 @@
         loop {
             let now = Instant::now();
             let until = match (self.idle.get(), self.socket.asking()) {
+                // The end of its answer has still to go.
+                (Some(_), _) if self.socket.is_blocked() => self.socket.last_written() + TAKES_NOTHING,
                 // It may take its time for a head, also while the process ends.
                 (Some(_), Some(asking)) => self.first_request().unwrap_or(asking + FIRST_REQUEST) + GRACE,
                 (Some(since), None) => {
@@ -136,7 +138,8 @@
     /// then those that have never sent anything or only asked for health, those that don't finish their first
     /// request, and at last any that wait for a further one; among the same, the longest.
     fn dearness(&self) -> Option<(usize, Instant)> {
-        let since = self.idle.get().filter(|_| !self.evicting.get())?;
+        let spare = !self.evicting.get() && !self.socket.is_blocked();
+        let since = self.idle.get().filter(|_| spare)?;
         let age = since.elapsed();
         let kind = match (self.fresh.get(), self.socket.asking()) {
             (false, None) if age >= SPARE => 0,
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -129,6 +129,8 @@
     most_read: Cell<usize>,
     written: Cell<usize>,
     last_written: Cell<Instant>,
+    /// The kernel takes no more for now, and something is still to be written.
+    blocked: Cell<bool>,
     /// When the first byte came since it was last at rest.
     asking: Cell<Option<Instant>>,
     /// The bytes that were read last from a client.
@@ -162,7 +164,7 @@
         let _ = stream.set_nodelay(true);
         let (read, most_read) = (Cell::new(0), Cell::new(usize::MAX));
         let (written, wants_quiet) = (Cell::new(0), Cell::new(false));
-        let asking = Cell::new(None);
+        let (asking, blocked) = Default::default();
         let (last_written, recent, whole) =
             (Cell::new(Instant::now()), RefCell::default(), RefCell::default());
         Socket(Rc::new(Inner {
@@ -171,6 +173,7 @@
             most_read,
             written,
             last_written,
+            blocked,
             asking,
             recent,
             keeps_recent,
@@ -225,6 +228,11 @@
         self.0.last_written.get()
     }
 
+    /// True if something waits to be written until the peer takes more.
+    pub fn is_blocked(&self) -> bool {
+        self.0.blocked.get()
+    }
+
     /// It is at rest: what comes now begins something new.
     pub fn rest(&self) {
         self.0.asking.set(None);
@@ -300,7 +308,9 @@
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
+            let room = self.0.stream.poll_write_ready(cx);
+            self.0.blocked.set(room.is_pending());
+            ready!(room)?;
             match write(&self.0.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
@@ -363,4 +373,33 @@
         drop(clients);
         assert!(!take_all(Purpose::Upstream).is_empty());
     }
+
+    /// Guards against taking a connection for idle while the end of its answer is still to be written.
+    #[test]
+    fn a_connection_is_blocked_until_its_peer_takes_what_waits() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("bound");
+            let permit = Budget::new(64, false).take(Purpose::Upstream).expect("room");
+            let mut socket = Socket::connect(address, permit).await.expect("a connection");
+            let (peer, _) = listener.accept().await.expect("the same");
+            let bytes = [0; 1 << 16];
+            let mut write = |cx: &mut Context<'_>| Pin::new(&mut socket).poll_write(cx, &bytes).is_pending();
+            std::future::poll_fn(|cx| {
+                while !write(cx) {}
+                Poll::Ready(())
+            })
+            .await;
+            assert!(socket.is_blocked());
+            let mut read = vec![0; 1 << 20];
+            while socket.is_blocked() {
+                peer.readable().await.expect("open");
+                let _ = peer.try_read(&mut read);
+                tokio::task::yield_now().await;
+                std::future::poll_fn(|cx| Poll::Ready(Pin::new(&mut socket).poll_write(cx, &[0]).is_ready()))
+                    .await;
+            }
+        });
+    }
 }
--- a/tests/console.rs
+++ b/tests/console.rs
@@ -226,3 +226,53 @@
     });
     assert_eq!(program.figure("refused.read"), refused);
 }
+
+/// Guards against closing on a client in the middle of a request, be it when the process ends or clients are sent away.
+#[test]
+fn a_request_that_has_half_come_is_served_before_its_connection_ends() {
+    for drain in [false, true] {
+        let upstream = Upstream::start(Reply::Ok);
+        let (program, _discovery) = Program::with_console(&[upstream.address]);
+        let mut client = program.client();
+        assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
+        client.write("POST /pay HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: dd0");
+        match drain {
+            true => assert_eq!(program.call("POST /healthcheck/fail").0, 200),
+            false => program.terminate(),
+        }
+        until("it sends clients away", || program.call("GET /healthcheck").0 == 503);
+        // Longer than an idle connection is kept then, and shorter than a head may take.
+        sleep(Duration::from_millis(1000));
+        client.write("1\r\nContent-Length: 5\r\n\r\ncoins");
+        let answer = client.receive().unwrap().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")), "{drain}");
+        assert!(client.is_closed());
+    }
+}
+
+/// Guards against a request that is still open when the process is killed: a body that comes too slowly for that is
+/// turned away in time.
+#[test]
+fn a_body_that_still_comes_is_turned_away_before_sigkill() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let mut client = program.client();
+    client.write("POST /pay HTTP/1.1\r\nHost: b\r\nRequest-Id: dd02\r\nContent-Length: 9000000\r\n\r\n");
+    client.write(&"x".repeat(200_000));
+    until("it is taken", || program.figure("in_flight") == 1);
+    program.terminate();
+    // It goes on sending: for longer than the process may live, if nobody answers.
+    let mut writer = client.writer();
+    let sending = std::thread::spawn(move || {
+        for _ in 0..400 {
+            if writer(&"x".repeat(5000)).is_err() {
+                return false;
+            }
+            sleep(Duration::from_millis(50));
+        }
+        true
+    });
+    assert_eq!(client.receive().unwrap().expect("an answer").status(), 503);
+    assert!(!sending.is_finished(), "it came while the body did");
+    assert!(upstream.seen.try_recv().is_err());
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -470,6 +470,12 @@
         let _ = self.out.write_all(text.as_bytes());
     }
 
+    /// Writes for another thread, while this one waits for the answer.
+    pub fn writer(&self) -> impl FnMut(&str) -> io::Result<()> + Send + 'static {
+        let mut out = self.out.try_clone().unwrap();
+        move |text| out.write_all(text.as_bytes())
+    }
+
     /// What is left until the connection ends.
     pub fn rest(&mut self) -> Vec<u8> {
         let mut rest = Vec::new();
