Take lists that stand on several lines, and refuse objects that are no lists

A list indented over several lines was taken for a malformed line, its watch was closed, and the same list failed again from there on.

At fault: `take_lines` in discovery.rs, which split at line ends, and the defaults of `List`.

Objects are now found by their brackets, outside of quotes. The tests in tests/watches.rs failed before this, but for the one with half a list: indented lists, malformed ones, and lists with a reset right behind them.

--- a/src/bin/magpiechute/discovery.rs
+++ b/src/bin/magpiechute/discovery.rs
@@ -20,8 +20,8 @@
 /// Lines come every 2 s, empty ones too: without one for this long, the watch is dead.
 const SILENCE: Duration = Duration::from_secs(5);
 const CONNECT: Duration = Duration::from_millis(500);
-/// A longer line is no list.
-const LONGEST_LINE: usize = 8 << 20;
+/// A longer object is no list.
+const LONGEST: usize = 8 << 20;
 
 /// A list of upstreams, or what changed in it.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -32,6 +32,15 @@
     pub endpoints: Vec<Endpoint>,
 }
 
+/// The same as a watch tells it. Guards against an object that is no list, and would be taken for an empty one.
+#[derive(Deserialize)]
+struct News {
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    endpoints: Vec<Endpoint>,
+}
+
 /// One upstream of a list.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Endpoint {
@@ -89,7 +98,7 @@
             return format!("status {}", response.status());
         }
         let mut body = response.into_body();
-        let mut text = Vec::new();
+        let mut messages = Messages::default();
         loop {
             let chunk = match timeout(SILENCE, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -97,8 +106,7 @@
                 Ok(None) => return "the watch ended".into(),
                 Err(_) => return "the watch is silent".into(),
             };
-            text.extend_from_slice(&chunk);
-            if let Err(why) = take_lines(&mut text, |list| driver.borrow_mut().list_changed(number, list)) {
+            if let Err(why) = messages.take(&chunk, |list| driver.borrow_mut().list_changed(number, list)) {
                 return why;
             }
         }
@@ -111,16 +119,54 @@
     }
 }
 
-/// Hands on each whole line of `text` and leaves the rest in it.
-fn take_lines(text: &mut Vec<u8>, mut take: impl FnMut(List)) -> Result<(), String> {
-    let whole = text.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
-    for line in text[..whole].split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii).filter(|l| !l.is_empty()) {
-        take(serde_json::from_slice(line).map_err(|error| format!("malformed line: {error}"))?);
-    }
-    text.drain(..whole);
-    match text.len() > LONGEST_LINE {
-        true => Err("malformed line: it has no end".into()),
-        false => Ok(()),
+/// Takes what a watch sends apart: objects, each on one line or indented over several, with empty lines between them.
+#[derive(Default)]
+struct Messages {
+    /// What has come of an object.
+    text: Vec<u8>,
+    /// Brackets that are open in it.
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Messages {
+    /// Hands on each object that is whole. True if there was one, or the end of a line where none has begun.
+    fn take(&mut self, chunk: &[u8], mut take: impl FnMut(List)) -> Result<bool, String> {
+        let mut lives = false;
+        for byte in chunk {
+            if self.depth == 0 && byte.is_ascii_whitespace() {
+                lives |= *byte == b'\n';
+                continue;
+            }
+            self.text.push(*byte);
+            if self.quoted {
+                self.quoted = *byte != b'"' || self.escaped;
+                self.escaped = *byte == b'\\' && !self.escaped;
+                // Guards against half an object whose rest never comes, and that takes the next one for its own.
+                if *byte == b'\n' {
+                    return Err("malformed list: a name goes on over the end of its line".into());
+                }
+                continue;
+            }
+            match byte {
+                b'"' => self.quoted = true,
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+            if self.depth == 0 {
+                let News { index, snapshot, endpoints } =
+                    serde_json::from_slice(&self.text).map_err(|error| format!("malformed list: {error}"))?;
+                take(List { index, snapshot, endpoints });
+                self.text.clear();
+                lives = true;
+            }
+        }
+        match self.text.len() > LONGEST {
+            true => Err("malformed list: it has no end".into()),
+            false => Ok(lives),
+        }
     }
 }
 
@@ -128,14 +174,40 @@
 mod tests {
     use super::*;
 
+    /// What comes out of this text, cut into pieces of this size.
+    fn indexes(text: &str, size: usize) -> Result<Vec<u64>, String> {
+        let (mut messages, mut seen) = (Messages::default(), Vec::new());
+        for piece in text.as_bytes().chunks(size) {
+            messages.take(piece, |list| seen.push(list.index))?;
+        }
+        Ok(seen)
+    }
+
+    #[test]
+    fn objects_may_come_in_pieces_and_over_several_lines_with_empty_lines_between_them() {
+        let text = "\n{\"index\":7,\"snapshot\":true,\"endpoints\":[]}\r\n\n\r\n\
+            {\n  \"index\": 8,\n  \"endpoints\": [\n    ],\n\n  \"news\": \"}]\\\\\\\"{\"\n}\n\
+            {\"index\":9,\"endpoints\":[]}{\"index\":10,\"endpoints\":[]}\n{\"ind";
+        for size in 1..text.len() {
+            assert_eq!(indexes(text, size).as_deref(), Ok(&[7, 8, 9, 10][..]), "{size}");
+        }
+    }
+
+    #[test]
+    fn what_is_no_list_is_told_so() {
+        for text in ["nonsense\n", "{}\n", "]\n", "7\n", "\"index\"", "{\"index\":7,\"endp\n{\"index\":8"] {
+            assert!(indexes(text, 3).is_err_and(|why| why.starts_with("malformed")), "{text}");
+        }
+    }
+
+    /// Guards against taking half a list for a sign of life: nothing whole has come.
     #[test]
-    fn lines_may_come_in_pieces_and_empty() {
-        let mut text = b"\n{\"index\":7,\"snapshot\":true,\"endpoints\":[]}\n{\"ind".to_vec();
-        let mut seen = Vec::new();
-        take_lines(&mut text, |list| seen.push(list.index)).expect("well-formed");
-        text.extend_from_slice(b"ex\":8}\r\n");
-        take_lines(&mut text, |list| seen.push(list.index)).expect("well-formed");
-        assert_eq!((seen, text.len()), (vec![7, 8], 0));
-        assert!(take_lines(&mut b"nonsense\n".to_vec(), |_| ()).is_err());
+    fn only_what_is_whole_shows_that_a_watch_lives() {
+        let mut messages = Messages::default();
+        let mut lives = |text: &str| messages.take(text.as_bytes(), |_| ());
+        let cases = [("\n", true), ("{\"index\":7,", false), ("\n\n", false), ("\"endpoints\":[]}", true)];
+        for (text, lived) in cases {
+            assert_eq!(lives(text), Ok(lived), "{text}");
+        }
     }
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -2,7 +2,7 @@
 //! Each test file uses a part of them.
 #![allow(dead_code)]
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -230,7 +230,26 @@
     }
 
     pub fn line(&mut self, text: &str) {
-        write!(self.stream, "{:x}\r\n{text}\n\r\n", text.len() + 1).unwrap();
+        self.part(&format!("{text}\n"));
+    }
+
+    /// Sends this as it is, in a piece of its own.
+    pub fn part(&mut self, text: &str) {
+        write!(self.stream, "{:x}\r\n{text}\r\n", text.len()).unwrap();
+    }
+
+    /// Resets the connection, whatever is on its way.
+    pub fn reset(self) {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
+    /// True if the program has not closed it.
+    pub fn is_open(&mut self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let open =
+            matches!(self.stream.read(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        self.stream.set_nonblocking(false).unwrap();
+        open
     }
 }
 
--- /dev/null
+++ b/tests/watches.rs
@@ -0,0 +1,125 @@
+//! Watches on discovery, and what is owed when one ends, stands still or crosses another.
+
+mod peers;
+use peers::*;
+use std::net::SocketAddr;
+
+const ID: &str = "Request-Id: {id}\r\n";
+
+/// A program with two upstreams of which one is in service.
+struct Rig {
+    old: Upstream,
+    new: Upstream,
+    program: Program,
+    discovery: DiscoveryPeer,
+    known: String,
+}
+
+impl Rig {
+    fn new(mode: &str) -> Self {
+        let (old, new) = (Upstream::start(Reply::Ok), Upstream::start(Reply::Ok));
+        let discovery = DiscoveryPeer::start();
+        let known = list(5, true, &[endpoint("u0", old.address, "in_service")]);
+        let config = Self::config(&known, discovery.address, mode);
+        Rig { old, new, program: Program::start(&config, "127.0.0.1:0"), discovery, known }
+    }
+
+    fn config(known: &str, discovery: SocketAddr, mode: &str) -> String {
+        config(known, discovery, 1024).replace("\"discovery\":\"ask\"", &format!("\"discovery\":\"{mode}\""))
+    }
+
+    /// The one upstream drains, the other is in service.
+    fn change(&self, index: u64) -> String {
+        let news =
+            [endpoint("u0", self.old.address, "terminating"), endpoint("u1", self.new.address, "in_service")];
+        list(index, false, &news)
+    }
+
+    /// Leaves an idle connection to the upstream that is in service, so that its end shows that news have come.
+    fn warm(&self) {
+        assert_eq!(self.program.client().ask("/pay", ID, "coins").status(), 200);
+        self.old.next();
+    }
+
+    /// The news have come: the connection that `warm` left is closed, and all goes to the other upstream.
+    fn changed(&self) {
+        self.old.closed.recv_timeout(PATIENCE).expect("the idle connection is closed");
+        assert_eq!(self.program.client().ask("/pay", ID, "coins").status(), 200);
+        self.new.next();
+        assert!(self.old.seen.try_recv().is_err());
+    }
+}
+
+/// Guards against a list that is lost because it stands on several lines, wherever it is cut on its way.
+#[test]
+fn a_list_may_be_indented_over_several_lines() {
+    let rig = Rig::new("push");
+    rig.warm();
+    let mut watch = rig.discovery.next();
+    watch.line("");
+    let text =
+        rig.change(6).replace('{', "{\n  ").replace(',', ",\n  ").replace('[', "[\n").replace(']', "\n]\n");
+    let (head, tail) = text.split_at(text.len() / 2);
+    watch.part(head);
+    watch.part(tail);
+    rig.changed();
+    assert!(watch.is_open() && rig.discovery.watches.try_recv().is_err());
+}
+
+/// Guards against news that come while a silent watch has been closed and the next one is not open yet, and against a
+/// Guards against a change that a watch has missed in its silence, and that is lost because it told a later one when
+/// Guards against a list that is lost because its connection was reset right behind it.
+#[test]
+fn a_list_counts_though_its_connection_is_reset_behind_it() {
+    for mode in ["push", "ask"] {
+        for indented in [false, true] {
+            let rig = Rig::new(mode);
+            rig.warm();
+            let mut watch = rig.discovery.next();
+            let text = rig.change(6);
+            watch.line(&if indented { text.replace(',', ",\n") } else { text });
+            watch.reset();
+            rig.changed();
+            let again = rig.discovery.next();
+            assert!(again.asked.contains("since=6"), "{}", again.asked);
+        }
+    }
+}
+
+/// Guards against half a list that is taken for a whole one, and against going on behind what it was.
+#[test]
+fn half_a_list_counts_for_nothing_and_is_asked_for_again() {
+    let rig = Rig::new("push");
+    rig.warm();
+    let mut watch = rig.discovery.next();
+    let text = rig.change(6);
+    watch.part(&text[..text.len() - 1]);
+    watch.reset();
+    let mut again = rig.discovery.next();
+    assert!(again.asked.contains("since=5"), "{}", again.asked);
+    assert_eq!(rig.program.client().ask("/pay", ID, "coins").status(), 200);
+    rig.old.next();
+    again.line(&text);
+    rig.changed();
+}
+
+/// Guards against a list that is thrown away, or one that is emptied, by what is no list.
+#[test]
+fn a_malformed_list_leaves_the_last_good_one_in_use() {
+    let rig = Rig::new("push");
+    let bad = [
+        "nonsense",
+        "{\"index\":9,\"snapshot\":true}",
+        "{\"index\":9,\"snapshot\":true,\"endpoints\":[{\"name\":\"u0\"}]}",
+        "{\"index\":9,\"snapshot\":tru,\"endpoints\":[]}",
+        "[]",
+    ];
+    for text in bad {
+        let mut watch = rig.discovery.next();
+        watch.line(text);
+        watch.ended();
+    }
+    assert!(rig.discovery.next().asked.contains("since=5"));
+    assert_eq!(rig.program.client().ask("/pay", ID, "coins").status(), 200);
+    rig.old.next();
+}
