Ask discovery again within the time after which its news count as told

At fault: `on_list` in balance.rs, whose waits knew of the interval alone. The test in tests/rules.rs fails without the bound (waits of up to 20 s).

--- a/src/bin/magpiechute/config.rs
+++ b/src/bin/magpiechute/config.rs
@@ -32,6 +32,8 @@
     Settings(#[from] SettingsError),
 }
 
+/// On sockets whatever discovery has to tell counts as told after so many seconds.
+const TOLD_WITHIN: f64 = 6.0;
 /// Fewer descriptors than this leave no room to serve.
 const LEAST_SOCKETS: usize = 64;
 
@@ -130,7 +132,8 @@
         }
         let mut pairs = Vec::new();
         flatten(String::new(), &file.settings, &mut pairs);
-        let settings = wire::settings(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())))?;
+        let mut settings = wire::settings(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())))?;
+        settings.rules.told_within = TOLD_WITHIN;
         settings.validate()?;
         let list = |key: &str| {
             let items = file.settings[key].as_array().into_iter().flatten();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -286,6 +286,22 @@
     assert!(waits[40] - waits[10] > 1.0, "they ask at moments of their own");
 }
 
+/// Guards against news that count as told before a balancer whose watch broke has asked again, and once more.
+#[test]
+fn discovery_is_asked_again_before_its_news_count_as_told() {
+    let mut settings = Settings { discovery: Discovery::Ask, ..Settings::simple() };
+    settings.rules.told_within = 6.0;
+    for seed in 0..50 {
+        let mut balancer = Balancer::new(settings.clone(), seed, 0.0).unwrap();
+        for now in 0..5 {
+            let mut actions = Vec::new();
+            balancer.handle(now.into(), Event::Upstreams(ListScope::Failed, Vec::new()), &mut actions);
+            let Action::SetTimer { after, .. } = actions[0] else { panic!("{actions:?}") };
+            assert!(after < 2.0, "{after}");
+        }
+    }
+}
+
 /// What the world knows of one request.
 #[derive(Default)]
 struct Known {
