Open a second watch beside one that has fallen silent, and hear both until it speaks

A watch that fell silent was closed after 5.02 s and opened again 0.5 s later, 5.52 s of the 6 s after which its news count as told; one more try that failed or was slow came too late. The first news had 5 s for their head and 5 s more for a line.

Ruled out: that a watch may be quiet by right.

At fault: `follow` in discovery.rs, which ended a watch for its silence, counted half a line as life, and gave the first news 10 s; and `list_failed` and `subscribe` in driver.rs, which knew of one watch at a time.

Silence is now 2.5 s without anything whole. The silent watch stays until the next one has told something; what it tells late is heard, but the version from which news are asked for does not rise with it, as it may have missed some. At the most three are open. The tests in tests/watches.rs hold one watch and release another; the four that concern silence failed before.

--- a/src/bin/magpiechute/discovery.rs
+++ b/src/bin/magpiechute/discovery.rs
@@ -8,17 +8,21 @@
 use hyper::Request;
 use serde::Deserialize;
 use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
-
-/// Discovery lets calls wait in turn; one that has no answer after this time is given up.
-const ANSWER: Duration = Duration::from_secs(5);
-/// The same for a new discovery, of which nothing is known yet: what it has to tell is wanted soon.
-const FIRST_ANSWER: Duration = Duration::from_millis(1500);
-/// Lines come every 2 s, empty ones too: without one for this long, the watch is dead.
-const SILENCE: Duration = Duration::from_secs(5);
+use tokio::time::{sleep, timeout, Instant, Sleep};
+
+/// Where lists are asked for, discovery lets calls wait in turn: one whose first news take this long is broken.
+const ASKED: Duration = Duration::from_secs(5);
+/// Where they are pushed, an agent beside us answers at once. So does, it is hoped, a new discovery of which nothing
+/// is known yet: what it has to tell is wanted soon.
+const PUSHED: Duration = Duration::from_millis(1500);
+/// Lines come every 2 s, empty ones too: with nothing whole for this long, the watch is broken. What it misses counts
+/// as told 6 s after its last line, so that some of that has to be left for the next watch, and for one more.
+const SILENCE: Duration = Duration::from_millis(2500);
 const CONNECT: Duration = Duration::from_millis(500);
 /// A longer object is no list.
 const LONGEST: usize = 8 << 20;
@@ -63,16 +67,18 @@
     pub address: SocketAddr,
     /// The version that is known; `None` where nothing is known of this discovery's versions.
     pub since: Option<u64>,
+    /// Calls for it may have to wait in turn.
+    pub asked: bool,
 }
 
-/// Follows the list until that fails; then tells the driver why.
+/// Follows the list until that fails, also after it has fallen silent; the driver is told of either.
 pub async fn watch(driver: Rc<RefCell<Driver>>, budget: Rc<Budget>, watch: Watch) {
     let why = follow(&driver, &budget, &watch).await;
     driver.borrow_mut().list_failed(watch.number, &why);
 }
 
 async fn follow(driver: &RefCell<Driver>, budget: &Rc<Budget>, watch: &Watch) -> String {
-    let Watch { number, address, since } = *watch;
+    let Watch { number, address, since, asked } = *watch;
     let Some(permit) = budget.take(Purpose::Discovery) else { return "no descriptor is free".into() };
     let socket = match timeout(CONNECT, Socket::connect(address, permit)).await {
         Ok(Ok(socket)) => socket,
@@ -83,16 +89,17 @@
         Ok(pair) => pair,
         Err(error) => return error.to_string(),
     };
-    let patience = if since.is_some() { ANSWER } else { FIRST_ANSWER };
     let request = Request::get(format!("/v1/servers?follow=1&since={}", since.unwrap_or(0)))
         .header("Host", address.to_string())
         .body(Empty::new());
     let Ok(request) = request else { return "the request can't be written".into() };
+    let patience = if asked && since.is_some() { ASKED } else { PUSHED };
+    let mut silent = pin!(sleep(patience));
     let read = async {
-        let response = match timeout(patience, sender.send_request(request)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => return error.to_string(),
-            Err(_) => return "no answer".into(),
+        let mut answer = pin!(sender.send_request(request));
+        let response = match or_silent(&mut answer, silent.as_mut(), driver, number).await {
+            Ok(response) => response,
+            Err(error) => return error.to_string(),
         };
         if response.status() != 200 {
             return format!("status {}", response.status());
@@ -100,18 +107,22 @@
         let mut body = response.into_body();
         let mut messages = Messages::default();
         loop {
-            let chunk = match timeout(SILENCE, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(error))) => return error.to_string(),
-                Ok(None) => return "the watch ended".into(),
-                Err(_) => return "the watch is silent".into(),
+            let chunk = match or_silent(&mut body.frame(), silent.as_mut(), driver, number).await {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(error)) => return error.to_string(),
+                None => return "the watch ended".into(),
             };
-            if let Err(why) = messages.take(&chunk, |list| driver.borrow_mut().list_changed(number, list)) {
-                return why;
+            match messages.take(&chunk, |list| driver.borrow_mut().list_changed(number, list)) {
+                Ok(true) => {
+                    driver.borrow_mut().list_lives(number);
+                    silent.as_mut().reset(Instant::now() + SILENCE);
+                }
+                Ok(false) => {}
+                Err(why) => return why,
             }
         }
     };
-    tokio::pin!(read);
+    let mut read = pin!(read);
     tokio::select! {
         why = &mut read => why,
         // What came before the end is still to be read.
@@ -119,6 +130,22 @@
     }
 }
 
+/// Waits for it, and tells the driver if it is silent for too long meanwhile.
+async fn or_silent<T>(
+    wanted: &mut (impl Future<Output = T> + Unpin),
+    silent: Pin<&mut Sleep>,
+    driver: &RefCell<Driver>,
+    number: u64,
+) -> T {
+    // What is there goes before what the clock says.
+    tokio::select! {
+        biased;
+        done = &mut *wanted => return done,
+        () = silent, if !silent.is_elapsed() => driver.borrow_mut().list_silent(number),
+    }
+    wanted.await
+}
+
 /// Takes what a watch sends apart: objects, each on one line or indented over several, with empty lines between them.
 #[derive(Default)]
 struct Messages {
--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -32,6 +32,8 @@
 const LAST_CALL: Duration = Duration::from_millis(5);
 /// Where lists are pushed, a broken watch is opened again after this time.
 const REWATCH: Duration = Duration::from_millis(500);
+/// Watches that are followed at a time, of which all but the newest are silent.
+const MOST_WATCHES: usize = 3;
 /// A new discovery that can't be watched is tried again after this time at the most. Guards against all
 /// balancers, told at once to move there, that come back in step.
 const MOVE_AGAIN: Duration = Duration::from_millis(400);
@@ -161,14 +163,13 @@
     targets: HashMap<UpstreamId, Target>,
     /// The names of those that the operators have left out.
     out: BTreeMap<UpstreamId, String>,
+    /// The version of the list up to which nothing has been missed, and whose versions these are.
     index: u64,
+    source: SocketAddr,
     listed: bool,
-    /// The watch that the list comes from.
-    watch: Option<Watching>,
-    /// Discovery has a new address, and the watch there has not spoken yet.
-    moving: bool,
-    /// The watch on the new address.
-    heir: Option<Watching>,
+    /// The watches that are followed, the newest at the end. The list comes from the first of them; the others are to
+    /// take its place once they have spoken.
+    watches: Vec<Watching>,
     last_watch: u64,
     jitter: Pcg64Mcg,
 }
@@ -176,6 +177,11 @@
 /// A watch on discovery that is being followed.
 struct Watching {
     number: u64,
+    address: SocketAddr,
+    /// The version that it has told of last.
+    index: u64,
+    /// It has been silent for so long that something may be missing in what it tells.
+    broken: bool,
     task: AbortHandle,
 }
 
@@ -226,15 +232,15 @@
                 targets: HashMap::new(),
                 out: BTreeMap::new(),
                 index: 0,
+                source: discovery.0,
                 listed: false,
-                watch: None,
-                moving: false,
-                heir: None,
+                watches: Vec::new(),
                 last_watch: 0,
                 jitter: Pcg64Mcg::seed_from_u64(config.seed),
             })
         });
         let known = List { snapshot: true, ..config.known };
+        driver.borrow_mut().index = known.index;
         driver.borrow_mut().apply(ListScope::Cached, known);
         if discovery.1 == Discovery::Push {
             driver.borrow_mut().subscribe();
@@ -342,29 +348,64 @@
 
     /// Discovery has sent a list, or what changed.
     pub fn list_changed(&mut self, watch: u64, list: List) {
-        if self.heir.as_ref().is_some_and(|heir| heir.number == watch) {
-            // The new discovery counts its versions by itself.
-            (self.moving, self.index) = (false, 0);
-            self.watch = self.heir.take();
-            log::line(format!("the list comes from {}", self.discovery.0));
+        self.list_lives(watch);
+        let Some(watching) = self.watches.first_mut().filter(|first| first.number == watch) else { return };
+        if watching.address != self.source {
+            // A new discovery counts its versions by itself.
+            (self.source, self.index) = (watching.address, 0);
+            log::line(format!("the list comes from {}", self.source));
+        }
+        // Guards against old news: within a watch the versions only rise.
+        if !list.snapshot && list.index < watching.index {
+            return;
+        }
+        watching.index = list.index;
+        watching.broken &= !list.snapshot;
+        if !watching.broken {
+            self.index = list.index;
+        }
+        self.apply(if list.snapshot { ListScope::Full } else { ListScope::Delta }, list);
+    }
+
+    /// The watch has told something. Guards against news of an old watch after those of a newer one.
+    pub fn list_lives(&mut self, watch: u64) {
+        if let Some(at) = self.watches.iter().position(|watching| watching.number == watch) {
+            self.watches.drain(..at);
+        }
+    }
+
+    /// The watch has told nothing whole for too long. Guards against news that are told between its end and the next
+    /// one's beginning: it stays until another has spoken.
+    pub fn list_silent(&mut self, watch: u64) {
+        let Some(at) = self.watches.iter().position(|watching| watching.number == watch) else { return };
+        log::line("discovery is silent".into());
+        self.watches[at].broken = true;
+        match self.discovery.1 {
+            // Those whose watches fall silent together come back one by one.
+            Discovery::Ask => {
+                let wait = REWATCH.mul_f64(self.jitter.random_range(0.0..1.0));
+                self.schedule(Instant::now() + wait, Due::Rewatch);
+            }
+            Discovery::Push => self.subscribe(),
         }
-        let scope = if list.snapshot { ListScope::Full } else { ListScope::Delta };
-        self.apply(scope, list);
     }
 
     /// The watch has ended.
     pub fn list_failed(&mut self, watch: u64, why: &str) {
+        let Some(at) = self.watches.iter().position(|watching| watching.number == watch) else { return };
         log::line(format!("discovery failed: {why}"));
-        if self.heir.as_ref().is_some_and(|heir| heir.number == watch) {
-            self.heir = None;
+        let failed = self.watches.remove(at);
+        let replaced = self.watches.len() > at;
+        // Guards against asking late, and the old address, when the old discovery ends its watches: the new
+        // one is on its way.
+        if replaced || failed.address != self.discovery.0 {
+            return;
+        }
+        if self.source != self.discovery.0 {
             let wait = MOVE_AGAIN.mul_f64(self.jitter.random_range(0.25..1.0));
             return self.schedule(Instant::now() + wait, Due::Rewatch);
         }
-        self.watch = None;
-        // Guards against asking late, and the old address, when the old discovery ends its watches: the new
-        // one is on its way.
         match self.discovery.1 {
-            _ if self.moving => {}
             Discovery::Ask => self.tell(Event::Upstreams(ListScope::Failed, Vec::new())),
             Discovery::Push => self.schedule(Instant::now() + REWATCH, Due::Rewatch),
         }
@@ -375,18 +416,11 @@
     pub fn move_discovery(&mut self, address: SocketAddr) {
         if address != self.discovery.0 {
             self.discovery.0 = address;
-            self.moving = true;
-            self.heir = None;
             self.subscribe();
         }
     }
 
     fn apply(&mut self, scope: ListScope, list: List) {
-        // Guards against old news: within a watch the versions only rise.
-        if scope == ListScope::Delta && list.index < self.index {
-            return;
-        }
-        self.index = list.index;
         self.listed |= !list.endpoints.is_empty();
         if list.snapshot {
             self.targets.values_mut().for_each(|target| target.state = UpstreamState::Off);
@@ -606,14 +640,22 @@
         }
     }
 
+    /// Opens a watch, unless the newest is as good as that.
     fn subscribe(&mut self) {
-        let Some(driver) = self.me.upgrade().filter(|_| self.heir.is_none()) else { return };
+        let (address, asked) = (self.discovery.0, self.discovery.1 == Discovery::Ask);
+        let last = self.watches.last();
+        let Some(driver) = self.me.upgrade() else { return };
+        if last.is_some_and(|watching| watching.address == address && !watching.broken) {
+            return;
+        }
         self.last_watch += 1;
-        let (number, since) = (self.last_watch, (!self.moving).then_some(self.index));
-        let watch = discovery::Watch { number, address: self.discovery.0, since };
+        let (number, since) = (self.last_watch, (self.source == address).then_some(self.index));
+        let watch = discovery::Watch { number, address, since, asked };
         let task = spawn_local(discovery::watch(driver, self.budget.clone(), watch)).abort_handle();
-        let place = if self.moving { &mut self.heir } else { &mut self.watch };
-        *place = Some(Watching { number, task });
+        let index = since.unwrap_or(0);
+        self.watches.push(Watching { number, address, index, broken: false, task });
+        let over = self.watches.len().saturating_sub(MOST_WATCHES);
+        self.watches.drain(..over);
     }
 
     fn schedule(&mut self, at: Instant, due: Due) {
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -3,6 +3,8 @@
 mod peers;
 use peers::*;
 use std::net::SocketAddr;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 const ID: &str = "Request-Id: {id}\r\n";
 
@@ -67,7 +69,70 @@
 }
 
 /// Guards against news that come while a silent watch has been closed and the next one is not open yet, and against a
+/// next one that is silent too: one of them is open all the time.
+#[test]
+fn a_watch_that_falls_silent_stays_until_another_has_spoken() {
+    for (mode, begin) in [("push", ""), ("push", "\n"), ("push", "\n{\"index\":6,"), ("ask", "\n")] {
+        let rig = Rig::new(mode);
+        rig.warm();
+        let mut first = rig.discovery.next();
+        if !begin.is_empty() {
+            first.part(begin);
+        }
+        let mut second = rig.discovery.next();
+        assert!(second.asked.contains("since=5"), "{}", second.asked);
+        assert!(first.is_open(), "{mode} {begin:?}");
+        if mode == "push" {
+            // This one is slow as well.
+            let mut third = rig.discovery.next();
+            assert!(first.is_open() && second.is_open());
+            third.line(&rig.change(6));
+        } else {
+            second.line(&rig.change(6));
+        }
+        rig.changed();
+        first.ended();
+    }
+}
+
+/// Guards against half a list that is kept alive by the empty lines behind it.
+#[test]
+fn empty_lines_inside_a_list_are_no_sign_of_life() {
+    let rig = Rig::new("push");
+    rig.warm();
+    let mut first = rig.discovery.next();
+    first.part("\n{\"index\":6,\"snapshot\":false,");
+    let begun = Instant::now();
+    let mut second = loop {
+        first.part("\n");
+        match rig.discovery.watches.try_recv() {
+            Ok(second) => break second,
+            Err(_) => sleep(Duration::from_millis(20)),
+        }
+        assert!(begun.elapsed() < PATIENCE, "the watch is held for alive");
+    };
+    second.line(&rig.change(6));
+    rig.changed();
+}
+
 /// Guards against a change that a watch has missed in its silence, and that is lost because it told a later one when
+/// it came back.
+#[test]
+fn what_a_silent_watch_has_missed_comes_from_the_next_one() {
+    let rig = Rig::new("push");
+    rig.warm();
+    let mut first = rig.discovery.next();
+    first.line("");
+    let mut second = rig.discovery.next();
+    // The first one speaks again, but of other things, and then breaks.
+    first.line(&list(7, false, &[endpoint("u7", rig.new.address, "terminated")]));
+    second.line(&rig.change(6));
+    rig.changed();
+    second.reset();
+    let again = rig.discovery.next();
+    assert!(again.asked.contains("since=6"), "{}", again.asked);
+}
+
 /// Guards against a list that is lost because its connection was reset right behind it.
 #[test]
 fn a_list_counts_though_its_connection_is_reset_behind_it() {
@@ -123,3 +188,28 @@
     assert_eq!(rig.program.client().ask("/pay", ID, "coins").status(), 200);
     rig.old.next();
 }
+
+/// Guards against drains that are told while discovery is away and has moved when it comes back: the old watch holds
+/// until the new one has spoken, and is heard till then.
+#[test]
+fn discovery_may_move_while_its_watch_is_silent() {
+    let rig = Rig::new("push");
+    rig.warm();
+    let mut silent = rig.discovery.next();
+    silent.line("");
+    let mut second = rig.discovery.next();
+    let elsewhere = DiscoveryPeer::start();
+    rig.program.reload(&Rig::config(&rig.known, elsewhere.address, "push"));
+    let mut moved = elsewhere.next();
+    assert!(moved.asked.contains("since=0"), "{}", moved.asked);
+    assert!(silent.is_open() && second.is_open());
+    // The old discovery is back and tells its watches, old and new, of a drain.
+    second.line(&rig.change(6));
+    rig.changed();
+    silent.ended();
+    assert!(moved.is_open());
+    moved.line(&list(2, true, &[endpoint("u1", rig.new.address, "in_service")]));
+    second.ended();
+    assert_eq!(rig.program.client().ask("/pay", ID, "coins").status(), 200);
+    rig.new.next();
+}
