--- a/src/bin/magpiechute/config.rs
+++ b/src/bin/magpiechute/config.rs
@@ -133,7 +133,7 @@
         let mut pairs = Vec::new();
         flatten(String::new(), &file.settings, &mut pairs);
         let mut settings = wire::settings(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())))?;
-        settings.rules.told_within = TOLD_WITHIN;
+        settings.rules.told = TOLD_WITHIN;
         settings.validate()?;
         let list = |key: &str| {
             let items = file.settings[key].as_array().into_iter().flatten();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -132,7 +132,7 @@
     /// Without a subscription, ask again within this time.
     pub ask_within: f64,
     /// What discovery has to tell counts as told after this time, whether it was heard or not.
-    pub told_within: f64,
+    pub told: f64,
     /// An upstream that has just started does at least this share of its work.
     pub start_capacity: f64,
     /// It is warm after this time.
@@ -226,7 +226,7 @@
                 open: 20_000,
                 retry_after: None,
             },
-            rules: Rules { ask_within: 10.0, told_within: f64::INFINITY, start_capacity: 0.2, cold: 10.0 },
+            rules: Rules { ask_within: 10.0, told: f64::INFINITY, start_capacity: 0.2, cold: 10.0 },
             prices: Prices::default(),
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -239,7 +239,7 @@
         rules: Rules {
             ask_within: num("rules.askWithin", r.ask_within)?,
             // On this wire the interval above says all.
-            told_within: r.told_within,
+            told: r.told,
             start_capacity: num("rules.startCapacity", r.start_capacity)?,
             cold: num("rules.cold", r.cold)?,
         },
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -290,7 +290,7 @@
 #[test]
 fn discovery_is_asked_again_before_its_news_count_as_told() {
     let mut settings = Settings { discovery: Discovery::Ask, ..Settings::simple() };
-    settings.rules.told_within = 6.0;
+    settings.rules.told = 6.0;
     for seed in 0..50 {
         let mut balancer = Balancer::new(settings.clone(), seed, 0.0).unwrap();
         for now in 0..5 {
