See that a client has left though bytes stand behind its request, and send nothing on for it

A client that leaves with nothing behind its request is seen. With 20 bytes behind it, or 200,000, its request stayed in the queue, was tried again at another upstream, and was sent on when a slot fell free. Where the settings allow no cancels, a request still went out when its connection came up after the client had left.

Ruled out: the module, which drops what it is told of at once, wherever it waits; many that leave together, which made no difference of their own.

At fault: server.rs, which leaves it to hyper to see the end of a connection; hyper looks only while its buffer is empty, and what the kernel has no window for keeps the end from coming at all. And `client_gone` in driver.rs, which closed attempts only where the module may cancel, though nothing had been written of them.

Whoever waits is now looked at by itself: its end is asked of the event loop, and 16 KiB of what stands before the end are read ahead; more than that is dropped, and so is what follows. What has nothing written is stopped with its request.

--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -339,8 +339,7 @@
 
     /// The client has closed its connection, or has its answer already.
     pub fn client_gone(&mut self, id: RequestId) {
-        let owed = self.open.get_mut(&id).and_then(|open| open.reply.take());
-        if owed.is_some() {
+        if self.conclude(id).is_some() {
             self.tell(Event::ClientGone(id));
             self.forget(id);
         }
@@ -624,9 +623,23 @@
         Some(Event::Outcome(AttemptEnd { id, attempt: number as u32, outcome, elapsed, idle, concluded }))
     }
 
+    /// Nothing is owed any more, unless that has been so before. Guards against sending on what nobody waits for:
+    /// attempts of which nothing has been written end here, also where those that are out may not be cancelled.
+    fn conclude(&mut self, id: RequestId) -> Option<oneshot::Sender<Final>> {
+        let open = self.open.get_mut(&id)?;
+        let reply = open.reply.take()?;
+        let unbegun = |(number, out): (usize, &Out)| out.begun.get().is_none().then_some(number);
+        let stopped: Vec<_> = open.attempts.iter().enumerate().filter_map(unbegun).collect();
+        for number in stopped {
+            let event = self.end(id, number, Outcome::NotSent);
+            self.events.extend(event);
+        }
+        Some(reply)
+    }
+
     /// Gives the final answer, unless there was one.
     fn answer(&mut self, id: RequestId, answer: Final) {
-        let Some(reply) = self.open.get_mut(&id).and_then(|open| open.reply.take()) else { return };
+        let Some(reply) = self.conclude(id) else { return };
         // A client that has just gone takes no answer; none is owed to it.
         let _ = reply.send(answer);
         self.forget(id);
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -52,6 +52,8 @@
 const LARGEST_HEAD: usize = 32 << 10;
 const MOST_HEADERS: usize = 100;
 const LONGEST_ID: usize = 128;
+/// Whether a client that has left has a request that waits is looked up this often.
+const LOOK: Duration = Duration::from_millis(50);
 /// After a failed accept (no descriptor, say) the next try comes this much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 
@@ -65,6 +67,8 @@
     fresh: Cell<bool>,
     /// It has carried a request that was taken, not just asked for health.
     asked: Cell<bool>,
+    /// A request has been taken and has no answer yet; true if all of it is here.
+    waits: Cell<Option<bool>>,
     /// An answer is on its way in parts.
     streaming: Cell<bool>,
     closing: Cell<bool>,
@@ -83,6 +87,7 @@
             idle: Cell::new(Some(opened)),
             fresh: Cell::new(true),
             asked: Cell::new(false),
+            waits: Cell::new(None),
             streaming: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
@@ -134,6 +139,20 @@
         }
     }
 
+    /// Ends when the client has left while its request waits. Guards against sending on what nobody wants any more
+    /// where bytes behind the request hide the end of the connection: whoever reads them would read no further.
+    async fn left(&self) {
+        loop {
+            let ready = self.socket.stirs().await;
+            let ended = ready.is_read_closed() || ready.is_error();
+            match self.waits.get() {
+                Some(_) if ended => return,
+                Some(true) if self.socket.ends_behind() => return,
+                _ => sleep(LOOK).await,
+            }
+        }
+    }
+
     /// How dear it is, if it may be closed to make room. Those that have waited long for a further request go first,
     /// then those that have never sent anything or only asked for health, those that don't finish their first
     /// request, and at last any that wait for a further one; among the same, the longest.
@@ -363,8 +382,8 @@
         });
         {
             let connection = http.serve_connection(socket, service);
-            let stuck = client.stuck();
-            tokio::pin!(connection, stuck);
+            let (stuck, left) = (client.stuck(), client.left());
+            tokio::pin!(connection, stuck, left);
             loop {
                 tokio::select! {
                     // A client that breaks off or sends nonsense has been told so by hyper.
@@ -378,6 +397,7 @@
                         }
                     }
                     () = &mut stuck => break,
+                    () = &mut left => break,
                     () = client.evicted.notified() => {
                         client.evicting.set(false);
                         if client.idle.get().is_some() && client.socket.is_quiet() {
@@ -431,7 +451,9 @@
         };
         // Dropped with this future when the client goes away first.
         let _gone = Gone { driver: &self.driver, id };
+        client.waits.set(Some(!upload.is_streamed()));
         let answer = answer.await;
+        client.waits.set(None);
         if upload.is_streamed() {
             let upload = upload.clone();
             spawn_local(async move { upload.discard().await });
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -4,12 +4,14 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::{Cell, Ref, RefCell};
+use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -23,6 +25,10 @@
 const CONSOLE: usize = 12;
 /// So much of what came last from a client is kept: a head as it came, as a rule.
 const RECENT: usize = 8 << 10;
+/// So much is read ahead of one connection: clients send one request at a time,
+const AHEAD: usize = 16 << 10;
+/// and so many pieces of it at a time, so that others have their turn.
+const MOST_PIECES: usize = 64;
 /// This part of what is left is for upstreams alone.
 const UPSTREAM_PART: f64 = 0.4;
 
@@ -136,6 +142,9 @@
     /// The bytes that were read last from a client.
     recent: RefCell<Vec<u8>>,
     keeps_recent: bool,
+    /// Bytes that were read ahead of whoever is to read them, and whether more came that were dropped.
+    ahead: RefCell<VecDeque<u8>>,
+    cut: Cell<bool>,
     /// What is to be told once so many bytes are written.
     whole: RefCell<Option<(usize, Rc<Stats>)>>,
     /// It has to be quiet when its next byte is written.
@@ -164,7 +173,7 @@
         let _ = stream.set_nodelay(true);
         let (read, most_read) = (Cell::new(0), Cell::new(usize::MAX));
         let (written, wants_quiet) = (Cell::new(0), Cell::new(false));
-        let (asking, blocked) = Default::default();
+        let (asking, blocked, ahead, cut) = Default::default();
         let (last_written, recent, whole) =
             (Cell::new(Instant::now()), RefCell::default(), RefCell::default());
         Socket(Rc::new(Inner {
@@ -177,6 +186,8 @@
             asking,
             recent,
             keeps_recent,
+            ahead,
+            cut,
             whole,
             wants_quiet,
             _permit: permit,
@@ -257,9 +268,38 @@
         }
     }
 
+    /// Waits until bytes, the end or an error have come.
+    pub async fn stirs(&self) -> Ready {
+        let ready = self.0.stream.ready(Interest::READABLE | Interest::ERROR).await;
+        // What can't be asked any more has ended.
+        ready.unwrap_or(Ready::ERROR)
+    }
+
+    /// True if the peer has closed or reset the connection. What it has sent before that may hide its end, or keep it
+    /// from coming: it is read ahead, and what is too much for that is dropped with all that follows.
+    pub fn ends_behind(&self) -> bool {
+        let mut bytes = [0; 8192];
+        for _ in 0..MOST_PIECES {
+            match self.0.stream.try_read(&mut bytes) {
+                Ok(0) => return true,
+                Ok(count) => {
+                    let mut ahead = self.0.ahead.borrow_mut();
+                    let room = AHEAD.saturating_sub(ahead.len());
+                    ahead.extend(&bytes[..count.min(room)]);
+                    self.0.cut.set(self.0.cut.get() || count > room);
+                }
+                Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
+            }
+        }
+        false
+    }
+
     /// True if the peer has neither closed nor sent anything that is still unread. Asks the kernel: what the
     /// event loop knows may be older than the peer's farewell.
     pub fn is_quiet(&self) -> bool {
+        if !self.0.ahead.borrow().is_empty() {
+            return false;
+        }
         let peeked = SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()]);
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
@@ -274,29 +314,43 @@
         let mut bytes = [0; 8192];
         let most = buffer.remaining().min(bytes.len());
         loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(&mut bytes[..most]) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-                Ok(count) => {
-                    self.0.read.set(self.read() + count);
-                    if count > 0 && self.asking().is_none() {
-                        self.0.asking.set(Some(Instant::now()));
-                    }
-                    // Guards against an answer that goes on for ever.
-                    if self.read() > self.0.most_read.get() {
-                        return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            let count = match self.take_ahead(&mut bytes[..most]) {
+                Some(count) => count,
+                None => {
+                    ready!(self.0.stream.poll_read_ready(cx))?;
+                    match self.0.stream.try_read(&mut bytes[..most]) {
+                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                        read => read?,
                     }
-                    self.keep_recent(&bytes[..count]);
-                    buffer.put_slice(&bytes[..count]);
-                    return Poll::Ready(Ok(()));
                 }
+            };
+            self.0.read.set(self.read() + count);
+            if count > 0 && self.asking().is_none() {
+                self.0.asking.set(Some(Instant::now()));
             }
+            // Guards against an answer that goes on for ever.
+            if self.read() > self.0.most_read.get() {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
+            self.keep_recent(&bytes[..count]);
+            buffer.put_slice(&bytes[..count]);
+            return Poll::Ready(Ok(()));
         }
     }
 }
 
 impl Socket {
+    /// Takes from what was read ahead; `None` if the kernel is to be asked.
+    fn take_ahead(&self, bytes: &mut [u8]) -> Option<usize> {
+        let mut ahead = self.0.ahead.borrow_mut();
+        if ahead.is_empty() {
+            return self.0.cut.get().then_some(0);
+        }
+        let count = ahead.len().min(bytes.len());
+        ahead.drain(..count).zip(bytes).for_each(|(from, to)| *to = from);
+        Some(count)
+    }
+
     fn poll_try(
         &self,
         cx: &mut Context<'_>,
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -9,7 +9,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -97,6 +97,8 @@
     Once(&'static str),
     /// Says nothing until the other side closes.
     Silent,
+    /// Holds its answer until it is released: a good one, or what is set by then.
+    Hold,
 }
 
 /// An upstream, and what it has seen.
@@ -107,8 +109,12 @@
     pub closed: Receiver<()>,
     pub connections: Arc<AtomicU64>,
     reply: Arc<Mutex<Reply>>,
+    gate: Arc<Gate>,
 }
 
+/// Whether what is held may go on.
+type Gate = (Mutex<bool>, Condvar);
+
 impl Upstream {
     pub fn start(reply: Reply) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -116,20 +122,23 @@
         let (closing, closed) = channel();
         let reply = Arc::new(Mutex::new(reply));
         let connections = Arc::new(AtomicU64::new(0));
+        let gate = Arc::new((Mutex::new(false), Condvar::new()));
         let upstream = Upstream {
             address: listener.local_addr().unwrap(),
             seen,
             closed,
             connections: connections.clone(),
             reply: reply.clone(),
+            gate: gate.clone(),
         };
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 connections.fetch_add(1, Ordering::SeqCst);
                 let (reply, sender, closing) = (reply.clone(), sender.clone(), closing.clone());
+                let gate = gate.clone();
                 thread::spawn(move || {
                     // However the connection ends, it has ended.
-                    let _ = answer_all(stream, &reply, &sender);
+                    let _ = answer_all(stream, &reply, &sender, &gate);
                     let _ = closing.send(());
                 });
             }
@@ -146,23 +155,41 @@
         *self.reply.lock().unwrap() = reply;
     }
 
+    /// Lets all that it holds go on, now and later.
+    pub fn release(&self) {
+        *self.gate.0.lock().unwrap() = true;
+        self.gate.1.notify_all();
+    }
+
     pub fn next(&self) -> Message {
         self.seen.recv_timeout(PATIENCE).expect("a request reaches the upstream")
     }
 }
 
-fn answer_all(stream: TcpStream, reply: &Mutex<Reply>, seen: &Sender<Message>) -> io::Result<()> {
+fn answer_all(
+    stream: TcpStream,
+    reply: &Mutex<Reply>,
+    seen: &Sender<Message>,
+    gate: &Gate,
+) -> io::Result<()> {
     let mut out = stream.try_clone()?;
     let mut input = BufReader::new(stream);
     while let Some(request) = Message::read(&mut input)? {
         let body = format!("{} by {}", request.first, out.local_addr()?);
         let id = request.header("request-id").unwrap_or("").to_string();
         let _ = seen.send(request);
-        let reply = *reply.lock().unwrap();
+        let asked = *reply.lock().unwrap();
+        let reply = if asked == Reply::Hold {
+            let open = gate.0.lock().unwrap();
+            drop(gate.1.wait_while(open, |open| !*open).unwrap());
+            *reply.lock().unwrap()
+        } else {
+            asked
+        };
         let head =
             |status: &str| format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\nSaw: {id}\r\n", body.len());
         match reply {
-            Reply::Ok => write!(out, "{}\r\n{body}", head("200 OK"))?,
+            Reply::Ok | Reply::Hold => write!(out, "{}\r\n{body}", head("200 OK"))?,
             Reply::OkThenClose => return write!(out, "{}\r\n{body}", head("200 OK")),
             Reply::Status(code) => write!(out, "{}\r\n{body}", head(&format!("{code} Other")))?,
             Reply::NotStarted => write!(out, "{}Not-Started: 1\r\n\r\n{body}", head("503 Busy"))?,
@@ -484,6 +511,11 @@
         self.out.write_all(text.as_bytes())
     }
 
+    /// Resets the connection.
+    pub fn reset(self) {
+        SockRef::from(&self.out).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     /// Sends this text as it is; the program may have closed the connection by then.
     pub fn write(&mut self, text: &str) {
         let _ = self.out.write_all(text.as_bytes());
