Turn away what is still connecting to an upstream that is back elsewhere under its name

Seen: reading what is owed when an upstream goes. A drain stops the attempts of which nothing is written. One whose upstream has moved, in a list that no longer tells of the drain between, waited for its old address until the connection was given up, or reached whoever is there now.

Ruled out: the idle connections, which are dropped with the address (`Pool::open`); restarts at the same address, where the new process takes the connection as its own.

At fault: `stop_unbegun` in driver.rs, which asked whether the upstream is in service and not whether it is where the attempt goes.

--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -118,6 +118,8 @@
 /// An attempt that was sent.
 struct Out {
     upstream: UpstreamId,
+    /// Where it was sent, if it was.
+    address: Option<SocketAddr>,
     sent: Instant,
     /// Set once its first byte was about to be written: for how long its connection had been idle.
     begun: Rc<Cell<Option<Duration>>>,
@@ -505,12 +507,12 @@
     }
 
     /// Guards against a call that was decided before a drain was told and begins after it: what has not
-    /// written its first byte to an upstream that is off is turned away here, in its stead.
+    /// written its first byte to an upstream that is off, or is no more where it was, is turned away here, in its stead.
     fn stop_unbegun(&mut self) {
         let mut stopped = Vec::new();
         for (id, open) in &self.open {
             for (number, out) in open.attempts.iter().enumerate() {
-                let off = self.address(out.upstream).is_none();
+                let off = self.address(out.upstream).is_none_or(|now| Some(now) != out.address);
                 if off && out.task.is_some() && out.begun.get().is_none() {
                     stopped.push((*id, number));
                 }
@@ -560,7 +562,7 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let number = open.attempts.len();
         let begun = Rc::new(Cell::new(None));
-        open.attempts.push(Out { upstream, sent, begun: begun.clone(), task: None });
+        open.attempts.push(Out { upstream, address, sent, begun: begun.clone(), task: None });
         let out = &mut open.attempts[number];
         // What a stream has given to one upstream is not there for another.
         let can_go = open.reply.is_some() && open.forward.upload.is_fresh();
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -450,6 +450,15 @@
         self.signal("-HUP");
     }
 
+    /// Holds the program still until it is to go on; what it is told meanwhile waits for that.
+    pub fn hold(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
