Close the door after SIGTERM before the last moment, where deadlines are short

Seen: reading the end of the process. Connections were taken for 0.8 s after SIGTERM whatever the settings say. With deadlines of 0.1 s SIGKILL may come at 0.8 s, and all is to be settled by 0.7 s, so that what comes through the door then is lost.

At fault: `drain` in main.rs. Its test is of the two times by themselves and does not compile with the mend taken out: on sockets nothing shows it but a wait of 0.1 s.

--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -152,16 +152,44 @@
 /// Goes on accepting for a while, unless a new process takes the clients' connections, then until the kernel holds no
 /// more, and closes the listener.
 async fn drain(server: &Rc<Server>, listener: TcpListener, replaced: bool, longest: Duration) {
-    server.drain(Instant::now() + longest.min(KILL_CAP) + KILL_EXTRA - SPARE);
+    server.drain(Instant::now() + last_moment(longest));
+    let still_accept = still_accept(longest);
     if !replaced {
         // The end of the time is what is waited for.
-        let _ = timeout(STILL_ACCEPT, server.accept(&listener)).await;
+        let _ = timeout(still_accept, server.accept(&listener)).await;
     }
     if let Err(error) = server.close(listener).await {
         log::line(format!("close: {error}"));
     }
     if replaced {
-        sleep(STILL_ACCEPT).await;
+        sleep(still_accept).await;
     }
     server.drain_fresh();
 }
+
+/// From SIGTERM to the moment by which all is settled, where the longest deadline is this.
+fn last_moment(longest: Duration) -> Duration {
+    longest.min(KILL_CAP) + KILL_EXTRA - SPARE
+}
+
+/// How long connections are still taken then. Guards against one that is taken and can't be settled any more.
+fn still_accept(longest: Duration) -> Duration {
+    STILL_ACCEPT.min(last_moment(longest) - SPARE)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_last_moment_follows_the_longest_deadline_and_the_door_closes_before_it() {
+        let millis = Duration::from_millis;
+        for (longest, moment, door) in [(0, 600, 500), (100, 700, 600), (500, 1100, 800), (2500, 3100, 800)] {
+            assert_eq!(
+                (last_moment(millis(longest)), still_accept(millis(longest))),
+                (millis(moment), millis(door))
+            );
+        }
+        assert_eq!(last_moment(millis(6000)), millis(3600));
+    }
+}
