Force crossings of attempts with time-outs, clients, drains and late connections in tests

These paths were right before; the program is held still, or a peer holds, until both sides have happened. Nothing was mended for them, so there is no mend to take out.

--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,152 @@
+//! Attempts that cross their end: the program is held still until both sides of a crossing have happened.
+
+mod peers;
+use peers::*;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const ID: &str = "Request-Id: {id}\r\n";
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "{what}");
+        sleep(Duration::from_millis(2));
+    }
+}
+
+/// A list that is a change of the one that the program knows.
+fn change(index: u64, entries: &[(&str, SocketAddr, &str)]) -> String {
+    let entries: Vec<_> = entries.iter().map(|(name, at, status)| endpoint(name, *at, status)).collect();
+    list(index, false, &entries)
+}
+
+/// Guards against two answers, or none, when the answer comes in the very turn in which the time is up; and against a
+/// slot that is freed twice or never.
+#[test]
+fn an_answer_that_crosses_the_time_out_ends_its_request_once() {
+    for _ in 0..3 {
+        let upstream = Upstream::start(Reply::Hold);
+        let (program, _discovery) = Program::with_console(&[upstream.address]);
+        let mut client = program.client();
+        client.send("/pay", &format!("{ID}Request-Timeout: 1.0\r\n"), "coins").unwrap();
+        upstream.next();
+        program.hold();
+        upstream.release();
+        // Its time passes while the answer lies there.
+        sleep(Duration::from_millis(1100));
+        program.go_on();
+        let status = client.receive().unwrap().expect("an answer").status();
+        assert!(status == 200 || status == 502, "{status}");
+        until("nothing is left", || program.figure("in_flight") == 0);
+        let total = program.figure("served.pay") + program.figure("failed.pay");
+        assert_eq!((total, program.figure("attempts")), (1, 1));
+        // The connection goes on with answers of its own, if it goes on.
+        let answer = client.ask("/pay/next", ID, "coins");
+        assert!(String::from_utf8_lossy(&answer.body).starts_with("POST /pay/next"), "{answer:?}");
+    }
+}
+
+/// Guards against the answer of a cancelled attempt that is taken for the next one's.
+#[test]
+fn an_answer_that_crosses_the_end_of_its_client_is_nobody_else_s() {
+    let upstream = Upstream::start(Reply::Hold);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let mut client = program.client();
+    client.send("/pay/gone", ID, "coins").unwrap();
+    upstream.next();
+    program.hold();
+    upstream.release();
+    drop(client);
+    program.go_on();
+    until("nothing is left", || program.figure("in_flight") == 0);
+    for _ in 0..4 {
+        let answer = program.client().ask("/pay/next", ID, "coins");
+        assert!(String::from_utf8_lossy(&answer.body).starts_with("POST /pay/next"), "{answer:?}");
+    }
+}
+
+/// Guards against breaking off, or sending again, a request of which a part has been written when a drain is told.
+#[test]
+fn what_is_half_written_when_a_drain_is_told_is_finished_there() {
+    let (old, new) = (Upstream::start(Reply::Ok), Upstream::start(Reply::Ok));
+    let (program, discovery) = Program::with(&[old.address]);
+    let mut client = program.client();
+    client.write("POST /pay HTTP/1.1\r\nHost: b\r\nRequest-Id: c001\r\nContent-Length: 200000\r\n\r\n");
+    client.write(&"x".repeat(150_000));
+    until("it has begun", || old.connections.load(Ordering::SeqCst) == 1);
+    let mut watch = discovery.next();
+    let draining = ("u0", old.address, "terminating");
+    watch.line(&change(6, &[draining, ("u1", new.address, "in_service")]));
+    assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
+    // Where that went shows that the drain is known.
+    let mut known = new.seen.try_iter().count() == 1;
+    while !known {
+        old.next();
+        assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
+        known = new.seen.try_iter().count() == 1;
+    }
+    client.write(&"x".repeat(50_000));
+    assert_eq!(client.receive().unwrap().expect("an answer").status(), 200);
+    assert_eq!(old.next().body.len(), 200_000);
+    assert!(new.seen.try_recv().is_err());
+}
+
+/// Guards against a retry at an upstream of which a drain was told while the first attempt was out.
+#[test]
+fn a_retry_goes_to_none_that_has_begun_to_drain_meanwhile() {
+    let (first, draining, free) =
+        (Upstream::start(Reply::Hold), Upstream::start(Reply::Ok), Upstream::start(Reply::Ok));
+    let (program, discovery) = Program::with(&[first.address]);
+    let mut client = program.client();
+    client.send("/pay", ID, "coins").unwrap();
+    first.next();
+    let mut watch = discovery.next();
+    watch.line(&change(6, &[("u1", draining.address, "in_service")]));
+    // It is used until it drains, and its idle connection shows when that is known.
+    until("it is used", || {
+        program.client().send("/pay", ID, "coins").unwrap();
+        draining.seen.try_recv().is_ok()
+    });
+    watch.line(&change(7, &[("u1", draining.address, "terminating"), ("u2", free.address, "in_service")]));
+    draining.closed.recv_timeout(PATIENCE).expect("its connection is closed");
+    while draining.seen.try_recv().is_ok() {}
+    first.set(Reply::NotStarted);
+    first.release();
+    assert_eq!(client.receive().unwrap().expect("an answer").status(), 200);
+    assert!(draining.seen.try_recv().is_err());
+}
+
+/// Guards against a request on a connection to a process that has gone, though its name and address are as before.
+#[test]
+fn connections_to_a_process_that_has_started_again_are_dropped() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, discovery) = Program::with(&[upstream.address]);
+    assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
+    let again =
+        change(6, &[("u0", upstream.address, "in_service")]).replace("since_ms\":0", "since_ms\":5000");
+    discovery.next().line(&again);
+    upstream.closed.recv_timeout(PATIENCE).expect("the idle connection is closed");
+    assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
+    assert_eq!(upstream.connections.load(Ordering::SeqCst), 2);
+}
+
+/// Guards against giving up on a connection that comes up late, within its time.
+#[test]
+fn a_connection_that_comes_up_late_carries_its_request_once() {
+    let door = Door::shut();
+    let discovery = DiscoveryPeer::start();
+    let known = list(5, true, &[endpoint("u0", door.address, "in_service")]);
+    let patient = config(&known, discovery.address, 1024)
+        .replace("Timeout\":1.0", "Timeout\":60.0")
+        .replace("\"aim\":5.0,\"hardLimit\":10.0", "\"aim\":200.0,\"hardLimit\":400.0");
+    let program = Program::start(&patient, "127.0.0.1:0");
+    let mut client = program.client();
+    client.send("/pay", ID, "coins").unwrap();
+    assert_eq!(program.client().ask("/healthz", "", "").status(), 200);
+    let upstream = door.open(Reply::Ok);
+    assert_eq!(client.receive().unwrap().expect("an answer").status(), 200);
+    assert_eq!(upstream.seen.try_iter().count(), 1);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -117,7 +117,10 @@
 
 impl Upstream {
     pub fn start(reply: Reply) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap(), reply)
+    }
+
+    fn on(listener: TcpListener, reply: Reply) -> Self {
         let (sender, seen) = channel();
         let (closing, closed) = channel();
         let reply = Arc::new(Mutex::new(reply));
@@ -313,16 +316,39 @@
 
 /// An address that never lets a connection come up: its queue of connections is full and nobody takes them.
 pub fn unreachable() -> SocketAddr {
+    let Door { address, listener, waiting } = Door::shut();
+    std::mem::forget((listener, waiting));
+    address
+}
+
+/// The same, until it is opened.
+pub struct Door {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    waiting: Vec<TcpStream>,
+}
+
+impl Door {
+    pub fn shut() -> Self {
+        let (listener, address, waiting) = shut();
+        Door { address, listener, waiting }
+    }
+
+    /// An upstream that takes what waits, but for those that kept others out.
+    pub fn open(self, reply: Reply) -> Upstream {
+        drop(self.waiting);
+        Upstream::on(self.listener, reply)
+    }
+}
+
+fn shut() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
     socket.listen(0).unwrap();
     let address = socket.local_addr().unwrap().as_socket().unwrap();
     let wait = Duration::from_millis(200);
-    while let Ok(stream) = TcpStream::connect_timeout(&address, wait) {
-        std::mem::forget(stream);
-    }
-    std::mem::forget(socket);
-    address
+    let waiting = std::iter::from_fn(|| TcpStream::connect_timeout(&address, wait).ok()).collect();
+    (socket.into(), address, waiting)
 }
 
 /// A program that is running; killed when dropped. Nobody reads its log once it listens, and it has to go on.
