--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -150,3 +150,28 @@
         }
     }
 }
+
+/// Guards against a request whose client leaves while it is held in the middle of its body.
+#[test]
+fn a_held_request_whose_client_leaves_in_the_middle_of_its_body_is_not_sent_on() {
+    for reset in [false, true] {
+        let upstream = Upstream::start(Reply::Hold);
+        let (program, _discovery) = patient(&[upstream.address], true);
+        let (mut running, waiting) = held(&program, &upstream, "/pay");
+        let mut uploading = program.client();
+        uploading.write(
+            "POST /pay/half HTTP/1.1\r\nHost: b\r\nRequest-Id: c003\r\nContent-Length: 200000\r\n\r\n",
+        );
+        uploading.write(&"x".repeat(100_000));
+        let all = running.len() as u64 + 2;
+        until("it is taken", || program.figure("in_flight") == all);
+        leave(uploading, 0, reset);
+        until("its end is seen", || program.figure("in_flight") == all - 1);
+        upstream.release();
+        for client in running.iter_mut().chain([waiting].iter_mut()) {
+            assert_eq!(client.receive().unwrap().unwrap().status(), 200);
+        }
+        assert!(upstream.seen.try_iter().all(|message| !message.first.contains("half")));
+        assert_eq!(program.figure("in_flight"), 0);
+    }
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,7 +2,9 @@
 
 mod peers;
 use peers::*;
-use std::net::SocketAddr;
+use socket2::SockRef;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -150,3 +152,31 @@
     assert_eq!(client.receive().unwrap().expect("an answer").status(), 200);
     assert_eq!(upstream.seen.try_iter().count(), 1);
 }
+
+/// Guards against calling a request run, and so failed, of which the last byte was never written.
+#[test]
+fn a_reset_before_the_last_byte_shows_that_a_request_never_ran() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (program, _discovery) = Program::with(&[listener.local_addr().unwrap()]);
+    let mut client = program.client();
+    client.write("POST /pay HTTP/1.1\r\nHost: b\r\nRequest-Id: c002\r\nContent-Length: 200000\r\n\r\n");
+    client.write(&"x".repeat(150_000));
+    let (mut stream, _) = listener.accept().unwrap();
+    stream.read_exact(&mut [0; 100_000]).unwrap();
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(stream);
+    assert_eq!(client.receive().unwrap().expect("an answer").status(), 503);
+}
+
+/// Guards against a connection that is kept for an answer without end, though its client has gone.
+#[test]
+fn an_endless_answer_ends_with_its_client() {
+    let upstream = Upstream::raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n");
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let mut client = program.client();
+    client.send("/pay", ID, "coins").unwrap();
+    upstream.next();
+    drop(client);
+    upstream.closed.recv_timeout(PATIENCE).expect("its connection is closed");
+    until("nothing is left", || program.figure("in_flight") == 0);
+}
--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -109,3 +109,38 @@
     assert_eq!(client.receive().unwrap().unwrap().status(), 200);
     assert_eq!(new.seen.try_iter().count(), 1);
 }
+
+/// Guards against an answer that is cut off because its client is slow to take it when the process is to end.
+#[test]
+fn an_answer_that_is_half_taken_at_sigterm_is_whole_in_the_end() {
+    let size = 24 << 20;
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n{}", "x".repeat(size));
+    let upstream = Upstream::raw(&text);
+    let (mut program, _discovery) = Program::with_console(&[upstream.address]);
+    let mut client = program.client();
+    client.send("/pay", ID, "coins").unwrap();
+    upstream.next();
+    program.terminate();
+    drains(&program);
+    assert_eq!(client.receive().unwrap().expect("an answer").body.len(), size);
+    assert!(program.wait().success());
+}
+
+/// Guards against closing a kept connection to make room in the very turn in which its next request has come.
+#[test]
+fn a_request_that_crosses_the_shedding_of_its_connection_has_its_answer() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with_sockets(&[upstream.address], 64);
+    let mut kept: Vec<_> = (0..20).map(|_| program.client()).collect();
+    kept.iter_mut().for_each(|client| assert_eq!(client.ask("/read", ID, "").status(), 200));
+    // Now they may be closed to make room.
+    sleep(Duration::from_millis(2100));
+    program.hold();
+    let fresh: Vec<_> = (0..40).map(|_| program.client()).collect();
+    kept.iter_mut().for_each(|client| client.send("/healthz", "", "").unwrap());
+    program.go_on();
+    for client in &mut kept {
+        assert_eq!(client.receive().unwrap().expect("an answer").status(), 200);
+    }
+    drop(fresh);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -376,6 +376,11 @@
     spawn_with(&[], &write_config(config), listen)
 }
 
+/// The same for one that shares a folder with others.
+pub fn spawn_in(folder: &Path, config: &str, listen: &str) -> Child {
+    spawn_with(&[("TMPDIR", folder.to_str().unwrap())], &write_config(config), listen)
+}
+
 fn write_config(config: &str) -> PathBuf {
     let number = FILES.fetch_add(1, Ordering::SeqCst);
     let path =
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -2,8 +2,10 @@
 
 mod peers;
 use peers::*;
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -196,3 +198,22 @@
     assert_eq!(program.call("POST /upstreams/u0/maint").0, 500);
     assert_eq!(program.client().ask("/pay", &format!("{ID}Request-Timeout: 1.0\r\n"), "coins").status(), 503);
 }
+
+/// Guards against clients that are lost because the new process is told to end before it is ready.
+#[test]
+fn sigterm_to_a_new_process_that_is_not_ready_leaves_the_old_one_serving() {
+    let rig = Rig::new();
+    let old = rig.start("127.0.0.1:0");
+    let mut client = old.client();
+    assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
+    // It knows of no upstream, and discovery says nothing.
+    let empty = config(&list(5, true, &[]), rig.discovery.address, 256);
+    let mut new = spawn_in(&rig.folder, &empty, &old.address.to_string());
+    let mut log = BufReader::new(new.stderr.take().unwrap()).lines();
+    assert!(log.any(|line| line.unwrap().contains("another process runs")), "they have met");
+    assert!(Command::new("kill").args(["-TERM", &new.id().to_string()]).status().unwrap().success());
+    assert!(new.wait().unwrap().success());
+    assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
+    assert_eq!(old.client().ask("/pay", ID, "coins").status(), 200);
+    assert_eq!(old.call("GET /healthcheck").0, 200);
+}
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -213,3 +213,33 @@
     assert_eq!(rig.program.client().ask("/pay", ID, "coins").status(), 200);
     rig.new.next();
 }
+
+/// Guards against a reopening that fails, and is not tried again before what it would tell counts as told. The silent
+/// watch is heard meanwhile.
+#[test]
+fn a_reopening_that_fails_is_tried_again_beside_the_silent_watch() {
+    for mode in ["push", "ask"] {
+        let rig = Rig::new(mode);
+        rig.warm();
+        let mut silent = rig.discovery.next();
+        silent.line("");
+        rig.discovery.next().reset();
+        let mut third = rig.discovery.next();
+        assert!(silent.is_open(), "{mode}");
+        third.line(&rig.change(6));
+        rig.changed();
+        silent.ended();
+    }
+}
+
+/// Guards against giving up a call that discovery lets wait in turn.
+#[test]
+fn a_call_that_has_to_wait_for_its_turn_is_not_made_twice() {
+    let rig = Rig::new("ask");
+    rig.warm();
+    let mut waiting = rig.discovery.next();
+    // Longer than where lists are pushed, and far less than such a call may take.
+    assert!(rig.discovery.watches.recv_timeout(Duration::from_millis(2500)).is_err());
+    waiting.line(&rig.change(6));
+    rig.changed();
+}
