--- a/src/bin/magpiechute/discovery.rs
+++ b/src/bin/magpiechute/discovery.rs
@@ -8,20 +8,24 @@
 use hyper::Request;
 use serde::Deserialize;
 use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
-
-/// Discovery lets calls wait in turn; one that has no answer after this time is given up.
-const ANSWER: Duration = Duration::from_secs(5);
-/// The same for a new discovery, of which nothing is known yet: what it has to tell is wanted soon.
-const FIRST_ANSWER: Duration = Duration::from_millis(1500);
-/// Lines come every 2 s, empty ones too: without one for this long, the watch is dead.
-const SILENCE: Duration = Duration::from_secs(5);
+use tokio::time::{sleep, timeout, Instant, Sleep};
+
+/// Where lists are asked for, discovery lets calls wait in turn: one whose first news take this long is broken.
+const ASKED: Duration = Duration::from_secs(5);
+/// Where they are pushed, an agent beside us answers at once. So does, it is hoped, a new discovery of which nothing
+/// is known yet: what it has to tell is wanted soon.
+const PUSHED: Duration = Duration::from_millis(1500);
+/// Lines come every 2 s, empty ones too: with nothing whole for this long, the watch is broken. What it misses counts
+/// as told 6 s after its last line, so that some of that has to be left for the next watch, and for one more.
+const SILENCE: Duration = Duration::from_millis(2500);
 const CONNECT: Duration = Duration::from_millis(500);
-/// A longer line is no list.
-const LONGEST_LINE: usize = 8 << 20;
+/// A longer object is no list.
+const LONGEST: usize = 8 << 20;
 
 /// A list of upstreams, or what changed in it.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -32,6 +36,15 @@
     pub endpoints: Vec<Endpoint>,
 }
 
+/// The same as a watch tells it. Guards against an object that is no list, and would be taken for an empty one.
+#[derive(Deserialize)]
+struct News {
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    endpoints: Vec<Endpoint>,
+}
+
 /// One upstream of a list.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Endpoint {
@@ -54,16 +67,18 @@
     pub address: SocketAddr,
     /// The version that is known; `None` where nothing is known of this discovery's versions.
     pub since: Option<u64>,
+    /// Calls for it may have to wait in turn.
+    pub asked: bool,
 }
 
-/// Follows the list until that fails; then tells the driver why.
+/// Follows the list until that fails, also after it has fallen silent; the driver is told of either.
 pub async fn watch(driver: Rc<RefCell<Driver>>, budget: Rc<Budget>, watch: Watch) {
     let why = follow(&driver, &budget, &watch).await;
     driver.borrow_mut().list_failed(watch.number, &why);
 }
 
 async fn follow(driver: &RefCell<Driver>, budget: &Rc<Budget>, watch: &Watch) -> String {
-    let Watch { number, address, since } = *watch;
+    let Watch { number, address, since, asked } = *watch;
     let Some(permit) = budget.take(Purpose::Discovery) else { return "no descriptor is free".into() };
     let socket = match timeout(CONNECT, Socket::connect(address, permit)).await {
         Ok(Ok(socket)) => socket,
@@ -74,36 +89,40 @@
         Ok(pair) => pair,
         Err(error) => return error.to_string(),
     };
-    let patience = if since.is_some() { ANSWER } else { FIRST_ANSWER };
     let request = Request::get(format!("/v1/servers?follow=1&since={}", since.unwrap_or(0)))
         .header("Host", address.to_string())
         .body(Empty::new());
     let Ok(request) = request else { return "the request can't be written".into() };
+    let patience = if asked && since.is_some() { ASKED } else { PUSHED };
+    let mut silent = pin!(sleep(patience));
     let read = async {
-        let response = match timeout(patience, sender.send_request(request)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => return error.to_string(),
-            Err(_) => return "no answer".into(),
+        let mut answer = pin!(sender.send_request(request));
+        let response = match or_silent(&mut answer, silent.as_mut(), driver, number).await {
+            Ok(response) => response,
+            Err(error) => return error.to_string(),
         };
         if response.status() != 200 {
             return format!("status {}", response.status());
         }
         let mut body = response.into_body();
-        let mut text = Vec::new();
+        let mut messages = Messages::default();
         loop {
-            let chunk = match timeout(SILENCE, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(error))) => return error.to_string(),
-                Ok(None) => return "the watch ended".into(),
-                Err(_) => return "the watch is silent".into(),
+            let chunk = match or_silent(&mut body.frame(), silent.as_mut(), driver, number).await {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(error)) => return error.to_string(),
+                None => return "the watch ended".into(),
             };
-            text.extend_from_slice(&chunk);
-            if let Err(why) = take_lines(&mut text, |list| driver.borrow_mut().list_changed(number, list)) {
-                return why;
+            match messages.take(&chunk, |list| driver.borrow_mut().list_changed(number, list)) {
+                Ok(true) => {
+                    driver.borrow_mut().list_lives(number);
+                    silent.as_mut().reset(Instant::now() + SILENCE);
+                }
+                Ok(false) => {}
+                Err(why) => return why,
             }
         }
     };
-    tokio::pin!(read);
+    let mut read = pin!(read);
     tokio::select! {
         why = &mut read => why,
         // What came before the end is still to be read.
@@ -111,16 +130,70 @@
     }
 }
 
-/// Hands on each whole line of `text` and leaves the rest in it.
-fn take_lines(text: &mut Vec<u8>, mut take: impl FnMut(List)) -> Result<(), String> {
-    let whole = text.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
-    for line in text[..whole].split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii).filter(|l| !l.is_empty()) {
-        take(serde_json::from_slice(line).map_err(|error| format!("malformed line: {error}"))?);
+/// Waits for it, and tells the driver if it is silent for too long meanwhile.
+async fn or_silent<T>(
+    wanted: &mut (impl Future<Output = T> + Unpin),
+    silent: Pin<&mut Sleep>,
+    driver: &RefCell<Driver>,
+    number: u64,
+) -> T {
+    // What is there goes before what the clock says.
+    tokio::select! {
+        biased;
+        done = &mut *wanted => return done,
+        () = silent, if !silent.is_elapsed() => driver.borrow_mut().list_silent(number),
     }
-    text.drain(..whole);
-    match text.len() > LONGEST_LINE {
-        true => Err("malformed line: it has no end".into()),
-        false => Ok(()),
+    wanted.await
+}
+
+/// Takes what a watch sends apart: objects, each on one line or indented over several, with empty lines between them.
+#[derive(Default)]
+struct Messages {
+    /// What has come of an object.
+    text: Vec<u8>,
+    /// Brackets that are open in it.
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Messages {
+    /// Hands on each object that is whole. True if there was one, or the end of a line where none has begun.
+    fn take(&mut self, chunk: &[u8], mut take: impl FnMut(List)) -> Result<bool, String> {
+        let mut lives = false;
+        for byte in chunk {
+            if self.depth == 0 && byte.is_ascii_whitespace() {
+                lives |= *byte == b'\n';
+                continue;
+            }
+            self.text.push(*byte);
+            if self.quoted {
+                self.quoted = *byte != b'"' || self.escaped;
+                self.escaped = *byte == b'\\' && !self.escaped;
+                // Guards against half an object whose rest never comes, and that takes the next one for its own.
+                if *byte == b'\n' {
+                    return Err("malformed list: a name goes on over the end of its line".into());
+                }
+                continue;
+            }
+            match byte {
+                b'"' => self.quoted = true,
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+            if self.depth == 0 {
+                let News { index, snapshot, endpoints } =
+                    serde_json::from_slice(&self.text).map_err(|error| format!("malformed list: {error}"))?;
+                take(List { index, snapshot, endpoints });
+                self.text.clear();
+                lives = true;
+            }
+        }
+        match self.text.len() > LONGEST {
+            true => Err("malformed list: it has no end".into()),
+            false => Ok(lives),
+        }
     }
 }
 
@@ -128,14 +201,40 @@
 mod tests {
     use super::*;
 
+    /// What comes out of this text, cut into pieces of this size.
+    fn indexes(text: &str, size: usize) -> Result<Vec<u64>, String> {
+        let (mut messages, mut seen) = (Messages::default(), Vec::new());
+        for piece in text.as_bytes().chunks(size) {
+            messages.take(piece, |list| seen.push(list.index))?;
+        }
+        Ok(seen)
+    }
+
     #[test]
-    fn lines_may_come_in_pieces_and_empty() {
-        let mut text = b"\n{\"index\":7,\"snapshot\":true,\"endpoints\":[]}\n{\"ind".to_vec();
-        let mut seen = Vec::new();
-        take_lines(&mut text, |list| seen.push(list.index)).expect("well-formed");
-        text.extend_from_slice(b"ex\":8}\r\n");
-        take_lines(&mut text, |list| seen.push(list.index)).expect("well-formed");
-        assert_eq!((seen, text.len()), (vec![7, 8], 0));
-        assert!(take_lines(&mut b"nonsense\n".to_vec(), |_| ()).is_err());
+    fn objects_may_come_in_pieces_and_over_several_lines_with_empty_lines_between_them() {
+        let text = "\n{\"index\":7,\"snapshot\":true,\"endpoints\":[]}\r\n\n\r\n\
+            {\n  \"index\": 8,\n  \"endpoints\": [\n    ],\n\n  \"news\": \"}]\\\\\\\"{\"\n}\n\
+            {\"index\":9,\"endpoints\":[]}{\"index\":10,\"endpoints\":[]}\n{\"ind";
+        for size in 1..text.len() {
+            assert_eq!(indexes(text, size).as_deref(), Ok(&[7, 8, 9, 10][..]), "{size}");
+        }
+    }
+
+    #[test]
+    fn what_is_no_list_is_told_so() {
+        for text in ["nonsense\n", "{}\n", "]\n", "7\n", "\"index\"", "{\"index\":7,\"endp\n{\"index\":8"] {
+            assert!(indexes(text, 3).is_err_and(|why| why.starts_with("malformed")), "{text}");
+        }
+    }
+
+    /// Guards against taking half a list for a sign of life: nothing whole has come.
+    #[test]
+    fn only_what_is_whole_shows_that_a_watch_lives() {
+        let mut messages = Messages::default();
+        let mut lives = |text: &str| messages.take(text.as_bytes(), |_| ());
+        let cases = [("\n", true), ("{\"index\":7,", false), ("\n\n", false), ("\"endpoints\":[]}", true)];
+        for (text, lived) in cases {
+            assert_eq!(lives(text), Ok(lived), "{text}");
+        }
     }
 }
