Rename to outlier ejection, subset and slow start; behaviour unchanged

Our words hid the standard terms: strikes and rest are outlier detection and ejection time, reach and home are a subset and its least size, the credit of a cold upstream is the allowance of its slow start. The log line says 'ejected for' in place of 'rest for'.

The state file keeps the old names: while two versions run side by side during an upgrade, each reads what the other has written (what operators have left out goes through that file at once, in both directions). An alias alone would let the new version read the old one, but not the old one the new. The new names are read too.

Test: tests/upgrade.rs, a_version_with_older_names_and_this_one_read_each_other_s_state; with the kept name of one field taken out it fails (missing field).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,15 +13,15 @@
 /// Calls that all callers together are presumed to keep in flight at one upstream, to begin with ("a few").
 const FEW_CALLS: f64 = 2.0;
 /// Upstreams that a caller turns over at the least, so that it has somewhere to go when some fail.
-const LEAST_HOME: usize = 3;
+const LEAST_SUBSET: usize = 3;
 /// Calls that may wait for each call that an upstream's slice lets run.
 const BACKLOG_PER_SLOT: f64 = 8.0;
 /// Share of the time left after the usual latency that a call may be held; twice it where late answers earn.
 const HOLD_SHARE: f64 = 0.4;
 /// A silence this many times the usual latency marks an upstream as hung.
 const SILENCE: f64 = 6.0;
-/// Answers take this share of what their aim leaves beyond the calm latency, on the mean: slices and reach
-/// are narrowed, not widened.
+/// Answers take this share of what their aim leaves beyond the calm latency, on the mean: slices and
+/// the subset are narrowed, not widened.
 const CROWDED: f64 = 0.25;
 /// A class that takes more than this share of its aim on the mean is not calm, whatever was seen of it: a
 /// caller may have started in a crowd.
@@ -39,9 +39,9 @@
 const BROKEN_RETRY: f64 = 0.2;
 /// Most of a caller's upstreams are not left out together, whatever is thought of them.
 const PANIC_SHARE: f64 = 0.5;
-/// A struck upstream rests for this many usual latencies, doubled by each strike up to `MOST_STRIKES`.
-const REST: f64 = 4.0;
-const MOST_STRIKES: i32 = 4;
+/// An outlier is ejected for this many usual latencies, doubled by each failure up to `MOST_FAILURES`.
+const EJECTION_TIME: f64 = 4.0;
+const MOST_FAILURES: i32 = 4;
 /// An upstream whose share of errors in a class is by so much larger than that of its peers fails by itself.
 const OUTLIER: f64 = 0.3;
 /// An upstream is believed to serve until seen otherwise, as if it had answered so many calls.
@@ -142,7 +142,7 @@
             usual: self.usual.clone(),
             rates: self.rates.clone(),
             paces: self.turns.paces.clone(),
-            reach: self.turns.reach,
+            subset: self.turns.subset,
             pass: self.turns.pass,
             met_crowd: self.turns.met_crowd,
             strain: self.strain,
@@ -169,8 +169,8 @@
         (self.usual, self.rates, self.strain) = (knowledge.usual, knowledge.rates, knowledge.strain);
         self.turns.paces = knowledge.paces;
         (self.turns.pass, self.turns.met_crowd) = (knowledge.pass, knowledge.met_crowd);
-        let most = (self.turns.order.len() as f64).max(self.turns.home);
-        self.turns.reach = knowledge.reach.clamp(self.turns.home, most);
+        let most = (self.turns.order.len() as f64).max(self.turns.least_subset);
+        self.turns.subset = knowledge.subset.clamp(self.turns.least_subset, most);
     }
 
     /// Upstreams of the list that get no call of any class now, though the list would let them.
@@ -232,7 +232,7 @@
     fn unlearned(&mut self) -> Learned {
         let health = || Health { heard: self.now, ..Health::default() };
         let health = (0..=self.cfg.classes.len()).map(|_| health()).collect();
-        Learned { width: 1.0, credit: self.rng.random(), health, ..Learned::default() }
+        Learned { width: 1.0, allowance: self.rng.random(), health, ..Learned::default() }
     }
 
     /// Another upstream may be used, or one no more.
@@ -253,13 +253,13 @@
         let on: Vec<_> = self.upstreams.values().filter(|u| u.is_on()).collect();
         let (listed, peers) = (on.len(), self.cfg.peers_total);
         let few = FEW_CALLS * (self.cfg.tiers - self.cfg.tier) as f64;
-        let size = ((few * listed as f64 / peers as f64).ceil() as usize).max(LEAST_HOME).min(listed);
+        let size = ((few * listed as f64 / peers as f64).ceil() as usize).max(LEAST_SUBSET).min(listed);
         let far = |u: &Upstream| self.cfg.prices.cross_zone > 0.0 && u.entry.zone != self.cfg.zone;
         let near = on.iter().filter(|u| !far(u)).count();
-        let pool = if near >= LEAST_HOME { near } else { listed };
-        let home = size.min(pool);
+        let pool = if near >= LEAST_SUBSET { near } else { listed };
+        let least = size.min(pool);
         let subsets = (pool / size.max(1)).max(1);
-        let rank = if near >= LEAST_HOME { self.cfg.me / self.cfg.zones } else { self.cfg.me };
+        let rank = if near >= LEAST_SUBSET { self.cfg.me / self.cfg.zones } else { self.cfg.me };
         let round = (rank / subsets) as u64;
         let shuffled = |id: u64| Pcg64Mcg::seed_from_u64(id.wrapping_add(round)).random::<u64>();
         let key = |u: &&Upstream| (far(u), shuffled(u.entry.id.0), u.entry.id);
@@ -267,9 +267,9 @@
         order.sort();
         self.turns.order = order.into_iter().map(|(_, id)| id).collect();
         self.turns.order[..pool].rotate_left((rank % subsets * size).min(pool));
-        self.turns.home = home as f64;
-        self.turns.reach = self.turns.reach.clamp(self.turns.home, listed as f64);
-        self.turns.even = few * listed as f64 / (home * peers).max(1) as f64;
+        self.turns.least_subset = least as f64;
+        self.turns.subset = self.turns.subset.clamp(self.turns.least_subset, listed as f64);
+        self.turns.even = few * listed as f64 / (least * peers).max(1) as f64;
         self.turns.slice = self.turns.even.max(1.0);
     }
 
@@ -290,7 +290,7 @@
         let over = self.rates.get_mut(tenant).map_or(0.0, |r| r.beyond(quota, self.now, c.deadline));
         let hurried = remaining < c.aim;
         let call = Call { class, deadline, work, over, hold_until, hurried, streamed, ..Call::default() };
-        self.credit_cold();
+        self.slow_start();
         self.calls.insert(id, call);
         self.place(id, actions);
     }
@@ -321,7 +321,7 @@
         }
     }
 
-    /// The round-robin turn, among the upstreams within reach that are ready for this call. One that the
+    /// The round-robin turn, among the upstreams of the subset that are ready for this call. One that the
     /// operators have put back goes first, once. Guards against one that they see idle because the caller has
     /// gone back to fewer upstreams meanwhile.
     fn take_turn(&self, id: RequestId) -> Option<UpstreamId> {
@@ -334,7 +334,7 @@
     /// Guards against leaving out so many for a class that the rest is pushed over, or that its calls are
     /// turned away while trouble deeper down is blamed on all.
     fn panic(&self, class: usize) -> bool {
-        let within = &self.turns.order[..self.turns.reach as usize];
+        let within = &self.turns.order[..self.turns.subset as usize];
         let unfit = within.iter().filter(|u| !self.fit(&self.upstreams[u], class)).count();
         unfit as f64 > PANIC_SHARE * within.len() as f64
     }
@@ -342,7 +342,7 @@
     /// The upstream in turn of those that may take part; calls ahead of it there count as turns.
     fn first_due(&self, ahead: impl Fn(&Upstream) -> Option<f64>) -> Option<UpstreamId> {
         let due = |u: &Upstream| Some(u.due.max(self.turns.turn) + self.pace(u) * ahead(u)?);
-        let within = self.turns.order[..self.turns.reach as usize].iter().map(|id| &self.upstreams[id]);
+        let within = self.turns.order[..self.turns.subset as usize].iter().map(|id| &self.upstreams[id]);
         Some(within.filter_map(|u| Some((due(u)?, u.entry.id))).min_by(|a, b| a.0.total_cmp(&b.0))?.1)
     }
 
@@ -371,33 +371,33 @@
     fn ready(&self, u: &Upstream, id: RequestId, panic: bool) -> bool {
         let busy = u.flights.len() as f64;
         let under = busy == 0.0 || busy + 1.0 <= self.turns.slice * u.learned.width;
-        let warm = u.learned.credit >= 1.0 || u.warm_share(&self.cfg.rules, self.now) == 1.0;
+        let warm = u.learned.allowance >= 1.0 || u.warm_share(&self.cfg.rules, self.now) == 1.0;
         let open = self.now >= u.learned.full_until && warm;
         under && open && (panic || self.fit(u, self.calls[&id].class)) && self.may_send(id, u)
     }
 
     /// Guards against pushing over a cold upstream, also when the others are down: each call that comes
-    /// entitles each upstream within reach to an even part of a turn, a cold one to its warm share of it.
-    /// None is saved up out of reach, lest many callers whose reach widens together spend it at once; but for
+    /// entitles each upstream of the subset to an even part of a turn, a cold one to its warm share of it.
+    /// None is saved up outside, lest many callers whose subset widens together spend it at once; but for
     /// one that operators have put back, for which each call counts as one over the whole list.
-    fn credit_cold(&mut self) {
-        let (within, beyond) = self.turns.order.split_at(self.turns.reach as usize);
+    fn slow_start(&mut self) {
+        let (within, beyond) = self.turns.order.split_at(self.turns.subset as usize);
         let back =
             beyond.iter().filter(|id| self.back.contains(id)).map(|id| (id, self.turns.order.len() as f64));
-        for (id, among) in within.iter().map(|id| (id, self.turns.reach)).chain(back) {
+        for (id, among) in within.iter().map(|id| (id, self.turns.subset)).chain(back) {
             let u = self.upstreams.get_mut(id).expect("listed");
             let share = u.warm_share(&self.cfg.rules, self.now);
-            u.learned.credit = (u.learned.credit + share / among).min(1.0);
+            u.learned.allowance = (u.learned.allowance + share / among).min(1.0);
         }
     }
 
     /// Guards against an upstream that is hung, dead, or fails one class while it serves the others: no
-    /// turns while it is silent for far longer than calls take, nor while it rests after a strike; then one
+    /// turns while it is silent for far longer than calls take, nor while it is ejected; then one
     /// call at a time until one is answered. Judged for all calls there, and for those of each class.
     fn fit(&self, u: &Upstream, class: usize) -> bool {
         let well = |scope: usize, calls: usize| {
             let h = &u.learned.health[scope];
-            self.now >= h.rest_until && (h.strikes == 0 || calls == 0)
+            self.now >= h.ejected_until && (h.failures == 0 || calls == 0)
         };
         let (mut same, mut overdue, mut unheard) = (0, false, 0);
         for f in &u.flights {
@@ -416,7 +416,7 @@
     /// Guards against leaving out one upstream after the other where calls are lost on the way to any of
     /// them: a single loss there says nothing of the upstream. Could hurt where all but one hang in turn.
     fn loses_as_others(&self, u: &Upstream) -> bool {
-        let within = self.turns.order[..self.turns.reach as usize].iter().filter(|id| **id != u.entry.id);
+        let within = self.turns.order[..self.turns.subset as usize].iter().filter(|id| **id != u.entry.id);
         let shares = within.map(|id| self.upstreams[id].learned.losses);
         let (sum, peers) = shares.fold((0.0, 0.0), |(sum, peers), share| (sum + share, peers + 1.0));
         sum > 0.0 && u.learned.losses <= 2.0 * sum / peers
@@ -460,7 +460,7 @@
         let call = self.calls.get_mut(&id).expect("a call being sent is known");
         let u = self.upstreams.get_mut(&upstream).expect("a chosen upstream is listed");
         self.back.retain(|back| *back != upstream);
-        u.learned.credit = (u.learned.credit - 1.0).max(0.0);
+        u.learned.allowance = (u.learned.allowance - 1.0).max(0.0);
         call.held_at = None;
         call.tries.push(Try { to: u.entry.clone(), sent, outcome: None });
         let whole = if call.streamed { f64::INFINITY } else { sent };
@@ -644,7 +644,7 @@
                 // Guards against a caller that starts again and, wide as it was before, turns calls away for
                 // long: until it meets a crowd, its slices grow by a share of themselves.
                 let step = if self.turns.met_crowd { GAIN } else { START };
-                // A call that had to wait lets one answer widen: first the reach, then the slices. Without
+                // A call that had to wait lets one answer widen: first the subset, then the slices. Without
                 // such need both go back.
                 let (most, pressed) =
                     (self.turns.order.len() as f64, std::mem::take(&mut self.turns.pressed));
@@ -657,15 +657,15 @@
                 } else if crowded || !pressed {
                     let back = if crowded { GAIN } else { GAIN * GAIN };
                     u.width += back * (1.0 - u.width);
-                } else if self.turns.reach == most {
+                } else if self.turns.subset == most {
                     u.width += step / self.turns.slice;
                 }
                 // Guards against a pass from each of many callers, which voids the limit: it rests.
                 let pass = if crowded && self.turns.even < OPEN { OPEN } else { 1.0 };
                 self.turns.pass += GAIN * (pass - self.turns.pass);
                 let steps = if pressed { [0.5, -0.5] } else { [-GAIN, -0.5] };
-                self.turns.reach = (self.turns.reach + steps[usize::from(crowded)])
-                    .clamp(self.turns.home, most.max(self.turns.home));
+                self.turns.subset = (self.turns.subset + steps[usize::from(crowded)])
+                    .clamp(self.turns.least_subset, most.max(self.turns.least_subset));
             }
             // Not a spoilt answer, which says nothing of the upstream's load.
             Error => u.width *= 1.0 - GAIN,
@@ -674,7 +674,7 @@
             ConnectFailed | Reset | TimedOut if u.health[0].heard <= flight.sent && !stale => {
                 // Guards against narrowing for a connection that broke by itself: where the process is gone,
                 // the next doesn't come up either.
-                let single = end.outcome != TimedOut && u.health[0].strikes == 0;
+                let single = end.outcome != TimedOut && u.health[0].failures == 0;
                 u.width *= if single { 1.0 - GAIN } else { 0.5 };
             }
             _ => {}
@@ -682,13 +682,13 @@
         u.width = u.width.max(0.5 / self.turns.slice);
         u.full_until = u.full_until.max(self.now + end.elapsed * (1.0 / self.turns.pass - 1.0));
         if (answer || lost) && !stale {
-            self.judge(upstream, &flight, end, lost, actions);
+            self.detect_outlier(upstream, &flight, end, lost, actions);
         }
     }
 
-    /// Strikes an upstream for losses while it answered nothing, or one class at it also for one that was
+    /// Ejects an upstream for losses while it answered nothing, or one class at it also for one that was
     /// lost in silence, or for errors and turn-aways that its peers don't have.
-    fn judge(
+    fn detect_outlier(
         &mut self,
         upstream: UpstreamId,
         f: &Flight,
@@ -697,7 +697,7 @@
         actions: &mut Vec<Action>,
     ) {
         let outcome = end.outcome;
-        // Guards against a rest of minutes after a heavy call. Hints are rough, so what they add is bounded.
+        // Guards against minutes of ejection after a heavy call. Hints are rough: what they add is bounded.
         let usual = f.usual.min(MOST_EXCESS * self.usual[f.class].time);
         let in_silence = lost && matches!(outcome, Outcome::Cancelled | Outcome::TimedOut);
         let losses = &mut self.upstreams.get_mut(&upstream).expect("kept while in flight").learned.losses;
@@ -706,10 +706,10 @@
         // Guards against an upstream that fails fast and so is free soonest for the next call (a black hole),
         // be it a bad release, a full disk or a dependency that it alone has lost. Errors that all have, as
         // when they are passed up from a deeper tier, leave out none. Could hurt where few calls come: some
-        // errors in a row by chance cost a rest. Turning a class away counts as much: the call can go
+        // errors in a row by chance cost an ejection. Turning a class away counts as much: the call can go
         // elsewhere, but it has held a slot until it came back.
         let fault = matches!(outcome, Outcome::Error | Outcome::Rejected);
-        let within = self.turns.order[..self.turns.reach as usize].iter().filter(|id| **id != upstream);
+        let within = self.turns.order[..self.turns.subset as usize].iter().filter(|id| **id != upstream);
         let peers: Vec<_> = within.map(|id| &self.upstreams[id].learned.health).collect();
         // Without peers there is nothing to compare with.
         let usual_faults = |scope: usize| {
@@ -723,9 +723,8 @@
         let name = &self.cfg.classes[f.class].name;
         let scopes = [(0, "all calls"), (1 + f.class, name)].map(|(n, what)| (n, what, usual_faults(n)));
         // Guards against learning once for each class what the calls of all classes tell together.
-        let (mut fails_all, mut struck, mut cleared) = (false, 0.0, false);
+        let (mut fails_all, mut ejected, mut cleared, mut logged) = (false, 0.0, false, false);
         let health = &mut self.upstreams.get_mut(&upstream).expect("kept while in flight").learned.health;
-        let mut logged = false;
         for (scope, what, usual_faults) in scopes {
             let h = &mut health[scope];
             h.heard = if lost { h.heard } else { self.now };
@@ -736,38 +735,39 @@
             let outlier = h.faults > usual_faults + OUTLIER;
             fails_all |= scope == 0 && outlier;
             if outcome == Outcome::Ok {
-                cleared |= scope > 0 && h.strikes > 0;
-                h.strikes = if outlier && scope > 0 { h.strikes } else { 0 };
+                cleared |= scope > 0 && h.failures > 0;
+                h.failures = if outlier && scope > 0 { h.failures } else { 0 };
             } else if lost && (h.heard <= f.sent || in_silence && scope > 0 && !common)
-                || fault && scope > 0 && (outlier || fails_all) && self.now >= h.rest_until
+                || fault && scope > 0 && (outlier || fails_all) && self.now >= h.ejected_until
             {
-                h.strikes = (h.strikes + 1).min(MOST_STRIKES);
+                h.failures = (h.failures + 1).min(MOST_FAILURES);
                 // One connection that breaks says little: if the process is gone, the next doesn't come up.
                 // Nor does one call that is lost where all lose some.
                 let single = common || matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
                 let first = if single { 2 } else { 1 };
-                if h.strikes < first {
+                if h.failures < first {
                     continue;
                 }
                 // Guards against losing one call after the other to a long silence: a trial may cost as
                 // much again.
                 let silence = if in_silence { end.elapsed } else { 0.0 };
-                let rest = (REST * usual * f64::from(1 << h.strikes)).max(silence);
-                h.rest_until = self.now + rest;
-                struck = if scope > 0 { rest } else { struck };
-                let text = format!("{what} rest for {rest:.1} s after {outcome:?}");
+                let time = (EJECTION_TIME * usual * f64::from(1 << h.failures)).max(silence);
+                h.ejected_until = self.now + time;
+                ejected = if scope > 0 { time } else { ejected };
+                let text = format!("{what} ejected for {time:.1} s after {outcome:?}");
                 let line = Action::Log { upstream: Some(upstream), text };
-                actions.extend((h.strikes == first && !logged).then_some(line));
+                actions.extend((h.failures == first && !logged).then_some(line));
                 logged = true;
             }
         }
         // Guards against losing calls that can't be repeated to trials: where one that can be tells as much,
         // the others come after it, and wait longer if it fails.
-        if self.cfg.classes[f.class].effect != Effect::Unsafe && (struck > 0.0 || cleared) {
-            let after = if cleared { self.now } else { self.now + 2.0 * struck };
+        if self.cfg.classes[f.class].effect != Effect::Unsafe && (ejected > 0.0 || cleared) {
+            let after = if cleared { self.now } else { self.now + 2.0 * ejected };
             for (h, class) in health[1..].iter_mut().zip(&self.cfg.classes) {
-                if h.strikes > 0 && class.effect == Effect::Unsafe {
-                    h.rest_until = if cleared { h.rest_until.min(after) } else { h.rest_until.max(after) };
+                if h.failures > 0 && class.effect == Effect::Unsafe {
+                    h.ejected_until =
+                        if cleared { h.ejected_until.min(after) } else { h.ejected_until.max(after) };
                 }
             }
         }
@@ -794,7 +794,7 @@
         loop {
             let u = &self.upstreams[&upstream];
             let longest = |a: &&UpstreamId| (self.upstreams[a].queue.len(), std::cmp::Reverse(**a));
-            let other = || self.turns.order[..self.turns.reach as usize].iter().max_by_key(longest);
+            let other = || self.turns.order[..self.turns.subset as usize].iter().max_by_key(longest);
             let from = Some(&upstream).filter(|_| !u.queue.is_empty()).or_else(other).unwrap_or(&upstream);
             let queue = self.upstreams[from].queue.iter().rev().copied();
             let Some(id) = queue.max_by(|a, b| self.value(*a).total_cmp(&self.value(*b))) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,14 +4,14 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
-/// The turn over the upstreams, and how far it reaches.
+/// The turn over the upstreams of the subset.
 #[derive(Default)]
 pub(crate) struct Turns {
-    /// Listed upstreams in this caller's own order; the first `reach` of them are turned over, `home` of
-    /// them at the least.
+    /// Listed upstreams in this caller's own order; the first `subset` of them are turned over, `least_subset`
+    /// of them at the least.
     pub(crate) order: Vec<UpstreamId>,
-    pub(crate) home: f64,
-    pub(crate) reach: f64,
+    pub(crate) least_subset: f64,
+    pub(crate) subset: f64,
     /// Calls that one upstream lets this caller have in flight, before it is widened or narrowed.
     pub(crate) slice: f64,
     /// The same where callers share it evenly; may be under one.
@@ -29,7 +29,8 @@
 }
 
 /// What a balancer has learned, for the one that takes its place. Nothing in it has to hold: whoever recalls it
-/// takes over what still fits.
+/// takes over what still fits. Fields that have changed their name are kept under the old one: during an upgrade
+/// the version before reads it too.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Knowledge {
     pub(crate) at: f64,
@@ -38,7 +39,8 @@
     pub(crate) usual: Vec<Usual>,
     pub(crate) rates: Vec<Rate>,
     pub(crate) paces: BTreeMap<usize, f64>,
-    pub(crate) reach: f64,
+    #[serde(rename = "reach", alias = "subset")]
+    pub(crate) subset: f64,
     pub(crate) pass: f64,
     pub(crate) met_crowd: bool,
     pub(crate) strain: f64,
@@ -96,8 +98,9 @@
     pub(crate) full_until: f64,
     /// How long the connection had been idle on which the last call was lost in silence; 0: none was.
     pub(crate) suspect: f64,
-    /// Part of a turn that it has saved up within reach.
-    pub(crate) credit: f64,
+    /// Part of a turn that slow start lets it have by now.
+    #[serde(rename = "credit", alias = "allowance")]
+    pub(crate) allowance: f64,
 }
 
 /// How the calls of one scope fare at an upstream.
@@ -108,8 +111,11 @@
     /// Share of errors and turn-aways among its answers, as a moving mean, and how many there were.
     pub(crate) faults: f64,
     pub(crate) answers: f64,
-    pub(crate) strikes: i32,
-    pub(crate) rest_until: f64,
+    /// Failures in a row that speak for ejecting it.
+    #[serde(rename = "strikes", alias = "failures")]
+    pub(crate) failures: i32,
+    #[serde(rename = "rest_until", alias = "ejected_until")]
+    pub(crate) ejected_until: f64,
 }
 
 pub(crate) struct Try {
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -507,7 +507,7 @@
 
 /// Guards against an upstream that is left out for minutes because the call that was lost there was a heavy one.
 #[test]
-fn a_heavy_call_lost_in_silence_rests_its_upstream_no_longer_than_a_light_one() {
+fn a_heavy_call_lost_in_silence_ejects_its_upstream_no_longer_than_a_light_one() {
     let (lossy, other) = (Upstream::start(Reply::Ok), Upstream::start(Reply::Ok));
     let discovery = DiscoveryPeer::start();
     let entries = [&lossy, &other].map(|u| endpoint(&u.address.to_string(), u.address, "in_service"));
@@ -538,7 +538,7 @@
 /// Guards against turning calls away at once when all upstreams are silent, as they are when trouble deeper down is
 /// blamed on them: a call waits for a slot as ever.
 #[test]
-fn a_call_waits_also_where_all_upstreams_are_struck() {
+fn a_call_waits_also_where_all_upstreams_are_ejected() {
     let upstream = Upstream::start(Reply::Silent);
     let (program, _discovery) = Program::with(&[upstream.address]);
     let (mut one, mut two) = (program.client(), program.client());
@@ -557,7 +557,7 @@
     assert_eq!(third.receive().unwrap().unwrap().status(), 200);
 }
 
-/// Guards against an upstream that draws calls because it fails them fast; errors that all have rest none.
+/// Guards against an upstream that draws calls because it fails them fast; errors that all have eject none.
 #[test]
 fn an_upstream_that_alone_answers_with_errors_is_left_out() {
     let (bad, good) = (Upstream::start(Reply::Status(500)), [(); 2].map(|()| Upstream::start(Reply::Ok)));
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -417,7 +417,7 @@
         taken += u32::from(upstream == there && rig.now > 103.0);
     }
     assert_eq!(taken, 0);
-    // It rests for as long as the silence took.
+    // It is ejected for as long as the silence took.
     rig.on(lost(1, Outcome::TimedOut, 6.0));
     rig.now += 5.0;
     let next: Vec<_> = (60..64).map(|id| sends(&rig.on(request(id, 0, 2.0)))[0].1).collect();
@@ -483,7 +483,7 @@
             concluded: false,
         }));
     }
-    // Past a rest.
+    // Past an ejection.
     rig.now += 20.0;
     rig.on(request(50, 0, 2.0));
     rig.on(end(50, 0, Outcome::Ok));
@@ -553,7 +553,7 @@
 }
 
 #[test]
-fn errors_that_all_upstreams_have_bring_no_rest() {
+fn errors_that_all_upstreams_have_eject_none() {
     let mut rig = Rig::with_classes(&[Effect::Unsafe], 4);
     let mut taken = [0; 5];
     for id in 1..=200 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -477,9 +477,9 @@
 }
 
 #[test]
-fn callers_whose_reach_widens_together_spare_a_cold_upstream() {
+fn callers_whose_subset_widens_together_spare_a_cold_upstream() {
     // Forty callers turn over three of nine upstreams each; a tenth is listed that stays at a hundredth of its
-    // work. After many calls each, all have to wait at once and widen their reach to it.
+    // work. After many calls each, all have to wait at once and widen their subset to it.
     let mut cold = 0;
     for me in 0..40 {
         let mut settings = Settings { me, peers_total: 40, ..Settings::simple() };
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 use peers::*;
+use ryequay::Knowledge;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -170,6 +171,40 @@
     drop((idle, more));
 }
 
+/// Guards against names that only one version knows: the two read each other's state, the old one also what operators
+/// say to the new one.
+#[test]
+fn a_version_with_older_names_and_this_one_read_each_other_s_state() {
+    let learned = r#"{"width":1.0,"pace":1.5,"answers":3.0,"health":[{"heard":9.0,"faults":0.1,"answers":3.0,
+        "strikes":2,"rest_until":12.5}],"losses":0.0,"full_until":0.0,"suspect":0.0,"credit":0.25}"#;
+    let old = format!(
+        r#"{{"at":10.0,"upstreams":{{"7":[1.0,0.0,{learned}]}},"usual":[],"rates":[],"paces":{{"0":1.0}},
+        "reach":4.5,"pass":1.0,"met_crowd":false,"strain":0.0}}"#
+    );
+    let json = |text: &str| serde_json::from_str::<serde_json::Value>(text).unwrap();
+    let read = |text: &str| serde_json::from_str::<Knowledge>(text).unwrap();
+    assert_eq!(
+        serde_json::to_value(read(&old)).unwrap(),
+        json(&old),
+        "the old version finds all that it wrote"
+    );
+    let names = [
+        ("strikes", "failures"),
+        ("rest_until", "ejected_until"),
+        ("credit", "allowance"),
+        ("reach", "subset"),
+    ];
+    let new = names.iter().fold(old.clone(), |text, (old, new)| text.replace(old, new));
+    assert_ne!(new, old);
+    assert_eq!(serde_json::to_value(read(&new)).unwrap(), json(&old));
+
+    let rig = Rig::new();
+    let address = rig.start("127.0.0.1:0").address;
+    let state = format!(r#"{{"balancer":"{address}","out":["u0"],"knowledge":{old}}}"#);
+    std::fs::write(rig.state(address), state).unwrap();
+    assert_eq!(rig.start(&address.to_string()).figure("upstreams_excluded"), 1);
+}
+
 #[test]
 fn a_torn_or_foreign_state_is_passed_over() {
     let rig = Rig::new();
