--- a/src/balance.rs
+++ b/src/balance.rs
@@ -53,13 +53,6 @@
 /// Turns by which a heavy call is taken for more than one, and usual latencies that its loss counts for, at
 /// the most.
 const MOST_EXCESS: f64 = 4.0;
-/// Doubt about idle connections is cleared at this rate by answers on old ones. A reset costs a call, a new
-/// connection a small part of one: more resets than this share of the answers are too many.
-const CLEARED: f64 = 0.04;
-/// Two resets with few answers between them.
-const ENOUGH_DOUBT: f64 = 1.5;
-/// Trust in idle connections doubles again in this time, in seconds.
-const TRUST_REGAINED: f64 = 30.0;
 /// Timer for the subscription to the list; requests use their id, which is smaller.
 const SUBSCRIBE: u64 = u64::MAX >> 1;
 
@@ -487,8 +480,7 @@
     /// are closed before use. Returns for how long the one to be used was idle. Costs handshakes, if it errs.
     fn open_connection(&mut self, upstream: UpstreamId, actions: &mut Vec<Action>) -> f64 {
         let most = self.cfg.limits.conn_idle;
-        self.idle.trust = (self.idle.trust * ((self.now - self.idle.at) / TRUST_REGAINED).exp2()).min(most);
-        self.idle.at = self.now;
+        self.idle.regain(self.now, most);
         let idle = &mut self.upstreams.get_mut(&upstream).expect("a chosen upstream is listed").idle;
         idle.retain(|since| self.now - since < most);
         if idle.first().is_some_and(|since| self.now - since > self.idle.trust) {
@@ -598,7 +590,6 @@
         // A reset on an idle connection, or silence on one and then an answer on a fresher one, speaks for
         // connections dropped while idle; an answer on one as old speaks against it. So does a reset on one
         // that was new, or idle for no longer than it is quiet during a call: connections break anyway.
-        let most = self.cfg.limits.conn_idle;
         let idled = idle > flight.usual;
         // One that comes before any work could be done.
         let broken = end.outcome == Reset && end.elapsed < GAIN * flight.usual;
@@ -607,17 +598,7 @@
             false if answer && idle < u.suspect / 2.0 => u.suspect,
             _ => 0.0,
         };
-        if old > 0.0 {
-            (self.idle.doubt, self.idle.doubted) = (self.idle.doubt + 1.0, self.idle.doubted.min(old / 2.0));
-        } else if broken {
-            (self.idle.doubt, self.idle.trust) = ((self.idle.doubt - 1.0).max(0.0), most);
-        } else if answer && idle > self.idle.doubted {
-            self.idle.doubt = (self.idle.doubt - CLEARED).max(0.0);
-        }
-        if self.idle.doubt >= ENOUGH_DOUBT {
-            self.idle.trust = self.idle.trust.min(self.idle.doubted);
-            (self.idle.doubt, self.idle.doubted) = (0.0, most);
-        }
+        self.idle.weigh(old, broken, if answer { idle } else { 0.0 }, self.cfg.limits.conn_idle);
         u.suspect = if lost && idled && end.outcome != Reset { idle } else { 0.0 };
         // A connection that may have been dropped while idle says nothing of the upstream.
         let stale = lost && idle > self.idle.trust || end.outcome == Reset && idle > 0.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,6 +56,38 @@
     pub(crate) doubted: f64,
 }
 
+/// Doubt about idle connections is cleared at this rate by answers on old ones. A reset costs a call, a new
+/// connection a small part of one: more resets than this share of the answers are too many.
+const CLEARED: f64 = 0.04;
+/// Two resets with few answers between them.
+const ENOUGH_DOUBT: f64 = 1.5;
+/// Trust in idle connections doubles again in this time, in seconds.
+const TRUST_REGAINED: f64 = 30.0;
+
+impl IdleTrust {
+    /// Brings `trust` up to date; `most` is the time after which connections are closed anyway.
+    pub(crate) fn regain(&mut self, now: f64, most: f64) {
+        self.trust = (self.trust * ((now - self.at) / TRUST_REGAINED).exp2()).min(most);
+        self.at = now;
+    }
+
+    /// One call has ended: it speaks against connections as `old` as that (0: it doesn't), it was on a connection
+    /// that would have broken `anyway`, or it was `answered` on one idle for so long.
+    pub(crate) fn weigh(&mut self, old: f64, anyway: bool, answered: f64, most: f64) {
+        if old > 0.0 {
+            (self.doubt, self.doubted) = (self.doubt + 1.0, self.doubted.min(old / 2.0));
+        } else if anyway {
+            (self.doubt, self.trust) = ((self.doubt - 1.0).max(0.0), most);
+        } else if answered > self.doubted {
+            self.doubt = (self.doubt - CLEARED).max(0.0);
+        }
+        if self.doubt >= ENOUGH_DOUBT {
+            self.trust = self.trust.min(self.doubted);
+            (self.doubt, self.doubted) = (0.0, most);
+        }
+    }
+}
+
 /// An attempt in flight at an upstream.
 pub(crate) struct Flight {
     pub(crate) id: RequestId,
