Move the unit tests out of src/ into tests/unit/

Cause: sixteen unit tests of magpiechute stood inside seven source files; tests live in test files.

Change: each block moves as it stood to tests/unit/NAME.rs; the source keeps only the line that names it. These tests need private items, so they stay modules of the program. Cargo takes no file below a sub-folder of tests/ for a test of its own, except one called main.rs: main's tests stand in tests/unit/magpiechute.rs. Nothing but the indent, one joined line (rustfmt) and a first line of comment differs. The documentation tests stay where they are.

--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -404,56 +404,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against either side starving the other.
-    #[test]
-    fn clients_leave_room_for_upstreams_and_all_leave_room_for_discovery() {
-        let budget = Budget::new(256, true);
-        let take_all = |purpose| std::iter::from_fn(|| budget.take(purpose)).collect::<Vec<_>>();
-        let clients = take_all(Purpose::Client);
-        let upstreams = take_all(Purpose::Upstream);
-        assert!(upstreams.len() > 256 / 3 && clients.len() > 256 / 3);
-        assert!(budget.take(Purpose::Client).is_none());
-        assert!(!take_all(Purpose::Refusal).is_empty() && budget.take(Purpose::Discovery).is_some());
-        assert_eq!(take_all(Purpose::Console).len(), CONSOLE);
-        assert!(budget.held() > 200);
-        // A second process takes a half of them.
-        budget.limit(128);
-        drop((clients, upstreams));
-        let (clients, upstreams) = (take_all(Purpose::Client), take_all(Purpose::Upstream));
-        assert!(clients.len() > 30 && upstreams.len() > 30 && budget.held() <= 128);
-        drop(clients);
-        assert!(!take_all(Purpose::Upstream).is_empty());
-    }
-
-    /// Guards against taking a connection for idle while the end of its answer is still to be written.
-    #[test]
-    fn a_connection_is_blocked_until_its_peer_takes_what_waits() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        runtime.block_on(async {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            let address = listener.local_addr().expect("bound");
-            let permit = Budget::new(64, false).take(Purpose::Upstream).expect("room");
-            let mut socket = Socket::connect(address, permit).await.expect("a connection");
-            let (peer, _) = listener.accept().await.expect("the same");
-            let bytes = [0; 1 << 16];
-            let mut write = |cx: &mut Context<'_>| Pin::new(&mut socket).poll_write(cx, &bytes).is_pending();
-            std::future::poll_fn(|cx| {
-                while !write(cx) {}
-                Poll::Ready(())
-            })
-            .await;
-            assert!(socket.is_blocked());
-            let mut read = vec![0; 1 << 20];
-            while socket.is_blocked() {
-                peer.readable().await.expect("open");
-                let _ = peer.try_read(&mut read);
-                tokio::task::yield_now().await;
-                std::future::poll_fn(|cx| Poll::Ready(Pin::new(&mut socket).poll_write(cx, &[0]).is_ready()))
-                    .await;
-            }
-        });
-    }
-}
+#[path = "../../../tests/unit/socket.rs"]
+mod tests;
--- /dev/null
+++ b/tests/unit/config.rs
@@ -0,0 +1,59 @@
+//! Unit tests of the configuration.
+
+use super::*;
+use serde_json::json;
+
+fn load(change: impl Fn(&mut Value)) -> Result<Config, ConfigError> {
+    let mut file = json!({
+        "name": "n1", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:8", "seed": "ff",
+        "limits": {"sockets": 1024, "cores": 1.0}, "news": [1],
+        "settings": {
+            "classes": [{"name": "call", "aim": 1.0, "hardLimit": 2.0, "effect": "read_like"}],
+            "tenants": [], "localities": ["a", "b"], "kinds": ["std"], "me": 0, "peersTotal": 1,
+            "stages": ["only"], "limits": {"retryAfter": true, "maxRetryAfter": 2.0, "connectTimeout": 0.1}
+        }
+    });
+    change(&mut file);
+    Config::from_file(serde_json::from_value(file).expect("well-formed"), false, |_| None)
+}
+
+#[test]
+fn settings_come_through_the_wire_s_parser() {
+    let config = load(|_| ()).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!((config.seed, config.names.zones.len()), (255, 2));
+    assert_eq!(config.settings.classes[0].deadline, 2.0);
+    assert_eq!(config.settings.limits.retry_after, Some(2.0));
+    assert_eq!(config.settings.limits.connect_timeout, 0.1);
+}
+
+#[test]
+fn a_variable_goes_before_the_file_until_that_is_read_again() {
+    let discovery = |again, in_file| {
+        let file = json!({"listen": "127.0.0.1:9", "discovery": in_file,
+            "settings": {"classes": [{"name": "call", "hardLimit": 2.0, "effect": "read_like"}]}});
+        let file = serde_json::from_value(file).expect("well-formed");
+        let var = |name: &str| (name == "PROXY_DISCOVERY").then(|| "127.0.0.1:7".to_string());
+        let config = Config::from_file(file, again, var).unwrap_or_else(|e| panic!("{e}"));
+        config.discovery.port()
+    };
+    assert_eq!((discovery(false, json!("127.0.0.1:8")), discovery(true, json!("127.0.0.1:8"))), (7, 8));
+    assert_eq!(discovery(true, Value::Null), 7);
+}
+
+#[test]
+fn a_bad_field_is_named() {
+    type Change = fn(&mut Value);
+    let cases: [(Change, &str); 7] = [
+        (|f| f["console"] = json!("there"), "PROXY_CONSOLE"),
+        (|f| f["listen"] = json!("here"), "PROXY_LISTEN"),
+        (|f| f["discovery"] = Value::Null, "PROXY_DISCOVERY"),
+        (|f| f["seed"] = json!("xyz"), "seed"),
+        (|f| f["limits"]["sockets"] = json!(3), "limits.sockets"),
+        (|f| f["settings"]["classes"][0]["aim"] = json!("soon"), "classes.0.aim"),
+        (|f| f["settings"]["classes"] = json!([]), "class"),
+    ];
+    for (change, field) in cases {
+        let error = load(change).err().map(|e| e.to_string()).unwrap_or_default();
+        assert!(error.contains(field) && error.lines().count() == 1, "{field}: '{error}'");
+    }
+}
