Check that no test comes back into src/

Cause: nothing kept the next unit test out of the source files.

Change: tests/text.rs looks through src/ for a test attribute or an inline module of tests; documentation tests are not meant.

--- a/tests/text.rs
+++ b/tests/text.rs
@@ -1,4 +1,4 @@
-//! The limits on the text of the decision module.
+//! The limits on the text of the decision module, and the place of tests.
 
 #[test]
 fn the_module_stays_within_its_limits() {
@@ -9,3 +9,16 @@
     assert!(wide.is_empty(), "{wide:?}");
     assert!(text.lines().take(3).any(|l| l.contains("src/interface.rs")));
 }
+
+#[test]
+fn tests_live_in_test_files() {
+    let mut left = vec![std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("src")];
+    while let Some(path) = left.pop() {
+        if path.is_dir() {
+            left.extend(std::fs::read_dir(path).unwrap().map(|entry| entry.unwrap().path()));
+        } else {
+            let text = std::fs::read_to_string(&path).unwrap();
+            assert!(!text.contains("test]\n") && !text.contains("mod tests {"), "{path:?}");
+        }
+    }
+}
