Name the listener and the admin endpoint by the terms of the field

The module console.rs, its type and its share of the descriptors were called console, and pages spoke of a door. They are admin.rs, Admin, Purpose::Admin, and the listener; the tests move to tests/admin.rs with it. What users see stays: the configuration's `console`, $PROXY_CONSOLE and the lines in the log.

--- a/src/bin/magpiechute/console.rs
+++ b/src/bin/magpiechute/admin.rs
@@ -1,4 +1,4 @@
-//! The operators' door: health, figures, and what they say about upstreams and clients. One call a connection.
+//! The admin endpoint: health, figures, and what operators say about upstreams and clients. One call a connection.
 
 use crate::driver::Driver;
 use crate::log;
@@ -33,7 +33,7 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 
 /// Serves the operators.
-pub struct Console {
+pub struct Admin {
     driver: Rc<RefCell<Driver>>,
     server: Rc<Server>,
     upgrade: Rc<Upgrade>,
@@ -70,7 +70,7 @@
     }
 }
 
-impl Console {
+impl Admin {
     pub fn new(
         driver: Rc<RefCell<Driver>>,
         server: Rc<Server>,
@@ -78,7 +78,7 @@
         budget: Rc<Budget>,
     ) -> Rc<Self> {
         let (waiting, accepted) = Default::default();
-        Rc::new(Console { driver, server, upgrade, budget, waiting, accepted })
+        Rc::new(Admin { driver, server, upgrade, budget, waiting, accepted })
     }
 
     /// Takes connections until dropped.
@@ -95,7 +95,7 @@
     }
 
     async fn admit(self: &Rc<Self>, stream: TcpStream) {
-        let mut permit = self.budget.take(Purpose::Console);
+        let mut permit = self.budget.take(Purpose::Admin);
         if permit.is_none() {
             // Guards against callers that say nothing and keep out the one that asks.
             let oldest = self.waiting.borrow().values().next().cloned();
@@ -103,7 +103,7 @@
             // Lets its task close the connection.
             yield_now().await;
             yield_now().await;
-            permit = self.budget.take(Purpose::Console);
+            permit = self.budget.take(Purpose::Admin);
         }
         let Some(permit) = permit else { return };
         spawn_local(self.clone().serve(Socket::new(stream, permit)));
--- a/src/bin/magpiechute/config.rs
+++ b/src/bin/magpiechute/config.rs
@@ -80,7 +80,7 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
-    /// Where operators connect, if they do.
+    /// The address of the admin endpoint, if there is one.
     pub console: Option<SocketAddr>,
     pub seed: u64,
     /// File descriptors that the process may hold.
--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -1,8 +1,8 @@
 //! magpiechute, the balancer on real sockets. See README.md for what it is told and what it promises.
 
+mod admin;
 mod bodies;
 mod config;
-mod console;
 mod discovery;
 mod driver;
 mod log;
@@ -12,8 +12,8 @@
 mod upgrade;
 mod upstream;
 
+use admin::Admin;
 use config::Config;
-use console::Console;
 use driver::Driver;
 use server::Server;
 use socket::Budget;
@@ -74,18 +74,18 @@
     let config = Config::load()?;
     let (name, address, sockets) = (config.name.clone(), config.listen, config.sockets);
     let budget = Budget::new(sockets, config.console.is_some());
-    let console = config.console.map(|address| {
+    let admin = config.console.map(|address| {
         server::listen(address, false).map_err(|error| format!("listen on {address} for operators: {error}"))
     });
-    let console = console.transpose()?;
+    let admin = admin.transpose()?;
     let longest = config.settings.classes.iter().fold(0.0, |longest: f64, c| longest.max(c.deadline));
     let driver = Driver::start(config, budget.clone())?;
     let server = Server::new(driver.clone(), budget.clone());
     let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
     let upgrade = Upgrade::new(folder, address, driver.clone(), server.clone(), budget.clone(), sockets);
-    if let Some(listener) = console {
+    if let Some(listener) = admin {
         log::line(format!("{name} takes operators' calls at {}", listener.local_addr()?));
-        spawn_local(Console::new(driver.clone(), server.clone(), upgrade.clone(), budget).accept(listener));
+        spawn_local(Admin::new(driver.clone(), server.clone(), upgrade.clone(), budget).accept(listener));
     }
     let pool = driver.borrow().pool().clone();
     spawn_local(async move {
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -21,8 +21,8 @@
 const REFUSALS: usize = 8;
 /// Kept free for discovery, which must get through when all else is crowded.
 const DISCOVERY: usize = 4;
-/// Kept free for the operators' calls, where there is a console: whatever the load is, they get through.
-const CONSOLE: usize = 12;
+/// Kept free for the admin endpoint, where there is one: whatever the load is, operators get through.
+const ADMIN: usize = 12;
 /// So much of what came last from a client is kept: a head as it came, as a rule.
 const RECENT: usize = 8 << 10;
 /// So much is read ahead of one connection: clients send one request at a time,
@@ -40,8 +40,8 @@
     /// A client that is only to be told that there is no room.
     Refusal,
     Discovery,
-    /// An operator's call.
-    Console,
+    /// A call at the admin endpoint.
+    Admin,
 }
 
 /// Counts the open sockets against the most that the process may hold.
@@ -52,31 +52,31 @@
 pub struct Budget {
     clients: Cell<usize>,
     others: Cell<usize>,
-    console: Cell<usize>,
+    admin: Cell<usize>,
     most: Cell<usize>,
     most_clients: Cell<usize>,
-    most_console: usize,
+    most_admin: usize,
 }
 
 impl Budget {
-    pub fn new(descriptors: usize, console: bool) -> Rc<Self> {
-        let (clients, others, console_open, most, most_clients) = Default::default();
-        let most_console = if console { CONSOLE } else { 0 };
-        let budget = Budget { clients, others, console: console_open, most, most_clients, most_console };
+    pub fn new(descriptors: usize, admin: bool) -> Rc<Self> {
+        let (clients, others, admin_open, most, most_clients) = Default::default();
+        let most_admin = if admin { ADMIN } else { 0 };
+        let budget = Budget { clients, others, admin: admin_open, most, most_clients, most_admin };
         budget.limit(descriptors);
         Rc::new(budget)
     }
 
     /// From now on the process may hold so many descriptors; what is open beyond that stays open.
     pub fn limit(&self, descriptors: usize) {
-        self.most.set(descriptors.saturating_sub(OTHER_FILES + self.most_console));
+        self.most.set(descriptors.saturating_sub(OTHER_FILES + self.most_admin));
         let shared = self.most.get().saturating_sub(DISCOVERY + REFUSALS) as f64;
         self.most_clients.set((shared * (1.0 - UPSTREAM_PART)) as usize);
     }
 
     /// Descriptors that the process holds now, with all that it keeps back.
     pub fn held(&self) -> usize {
-        self.clients.get() + self.others.get() + OTHER_FILES + self.most_console
+        self.clients.get() + self.others.get() + OTHER_FILES + self.most_admin
     }
 
     /// Room for one more, if there is.
@@ -91,7 +91,7 @@
                 clients < self.most_clients.get() + REFUSALS && open + DISCOVERY < self.most.get()
             }
             Purpose::Discovery => open < self.most.get(),
-            Purpose::Console => self.console.get() < self.most_console,
+            Purpose::Admin => self.admin.get() < self.most_admin,
         };
         free.then(|| {
             let count = self.count(purpose);
@@ -104,7 +104,7 @@
         match purpose {
             Purpose::Client | Purpose::Refusal => &self.clients,
             Purpose::Upstream | Purpose::Discovery => &self.others,
-            Purpose::Console => &self.console,
+            Purpose::Admin => &self.admin,
         }
     }
 }
@@ -417,7 +417,7 @@
         assert!(upstreams.len() > 256 / 3 && clients.len() > 256 / 3);
         assert!(budget.take(Purpose::Client).is_none());
         assert!(!take_all(Purpose::Refusal).is_empty() && budget.take(Purpose::Discovery).is_some());
-        assert_eq!(take_all(Purpose::Console).len(), CONSOLE);
+        assert_eq!(take_all(Purpose::Admin).len(), ADMIN);
         assert!(budget.held() > 200);
         // A second process takes a half of them.
         budget.limit(128);
--- a/tests/console.rs
+++ b/tests/admin.rs
@@ -1,4 +1,4 @@
-//! The operators' door of the real program.
+//! The admin endpoint of the real program.
 
 mod peers;
 use peers::*;
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -47,7 +47,7 @@
 }
 
 /// Guards against connections that are lost from one version to the next: clients that open one for each request
-/// never meet a closed door.
+/// never find a closed listener.
 #[test]
 fn clients_that_come_during_an_upgrade_are_all_served() {
     let rig = Rig::new();
