--- a/tests/unit/console.rs
+++ b/tests/unit/admin.rs
@@ -1,4 +1,4 @@
-//! Unit tests of the console's paths.
+//! Unit tests of the admin endpoint's paths.
 
 use super::*;
 
--- a/tests/unit/socket.rs
+++ b/tests/unit/socket.rs
@@ -12,7 +12,7 @@
     assert!(upstreams.len() > 256 / 3 && clients.len() > 256 / 3);
     assert!(budget.take(Purpose::Client).is_none());
     assert!(!take_all(Purpose::Refusal).is_empty() && budget.take(Purpose::Discovery).is_some());
-    assert_eq!(take_all(Purpose::Console).len(), CONSOLE);
+    assert_eq!(take_all(Purpose::Admin).len(), ADMIN);
     assert!(budget.held() > 200);
     // A second process takes a half of them.
     budget.limit(128);
