Ask the kernel after the client in the moment in which an attempt begins

Cause: that a client has left was known only from the event loop's last look, and with bytes behind its request from a look every 50 ms. What came in the same turn, or while the process was short of its core, went first: a slot that became free, a connection that came up, the rest of a body. Read: server.rs `left` (50 ms, then a turn), upstream.rs `run` (a connection that comes up writes in the poll that finds it up), bodies.rs (the last part of a body is passed on whatever lies behind it).

Change: before a connection is opened, and before the first byte and the last one are written (an upstream begins with the last), the socket of the attempt asks the kernel after its client: poll with POLLRDHUP, and what lies behind a whole request is read ahead as before. The driver ends such a request as ClientGone; it counts under no ending. nix, through libc, is the safe way to that poll.

The tests hold the program still until both sides of each crossing have happened. `held` took a call for held whose connection was just being opened: it now knows that an upstream has two calls at the start.

--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -605,12 +605,19 @@
         if open.attempts.get(number).is_none_or(|out| out.task.is_none()) {
             return;
         }
+        // It was not sent because its client has left, if that is so.
+        let gone = outcome == Outcome::NotSent && open.forward.client.has_left();
+        let gone = gone && self.conclude(id).is_some();
         if let Some(answer) = answer {
             self.answer(id, Final::Served(answer));
         }
         if let Some(event) = self.end(id, number, outcome) {
             self.tell(event);
         }
+        if gone {
+            self.tell(Event::ClientGone(id));
+            self.forget(id);
+        }
     }
 
     /// Closes an attempt in the ledger; the event to tell of it, if it was still out.
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -67,8 +67,8 @@
     fresh: Cell<bool>,
     /// It has carried a request that was taken, not just asked for health.
     asked: Cell<bool>,
-    /// A request has been taken and has no answer yet; true if all of it is here.
-    waits: Cell<Option<bool>>,
+    /// A request has been taken and has no answer yet.
+    waits: Cell<bool>,
     /// An answer is on its way in parts.
     streaming: Cell<bool>,
     closing: Cell<bool>,
@@ -87,7 +87,7 @@
             idle: Cell::new(Some(opened)),
             fresh: Cell::new(true),
             asked: Cell::new(false),
-            waits: Cell::new(None),
+            waits: Cell::new(false),
             streaming: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
@@ -139,17 +139,15 @@
         }
     }
 
-    /// Ends when the client has left while its request waits. Guards against sending on what nobody wants any more
+    /// Ends when the client has left while its request waits. Guards against holding what nobody wants any more
     /// where bytes behind the request hide the end of the connection: whoever reads them would read no further.
     async fn left(&self) {
         loop {
-            let ready = self.socket.stirs().await;
-            let ended = ready.is_read_closed() || ready.is_error();
-            match self.waits.get() {
-                Some(_) if ended => return,
-                Some(true) if self.socket.ends_behind() => return,
-                _ => sleep(LOOK).await,
+            self.socket.stirs().await;
+            if self.waits.get() && self.socket.has_left() {
+                return;
             }
+            sleep(LOOK).await;
         }
     }
 
@@ -451,9 +449,12 @@
         };
         // Dropped with this future when the client goes away first.
         let _gone = Gone { driver: &self.driver, id };
-        client.waits.set(Some(!upload.is_streamed()));
+        client.waits.set(true);
+        // Nobody reads what comes behind a request that is whole before it has its answer.
+        client.socket.read_ahead(!upload.is_streamed());
         let answer = answer.await;
-        client.waits.set(None);
+        client.waits.set(false);
+        client.socket.read_ahead(false);
         if upload.is_streamed() {
             let upload = upload.clone();
             spawn_local(async move { upload.discard().await });
@@ -486,10 +487,15 @@
                 value.map(|value| response.headers_mut().insert("retry-after", value));
                 response
             }
-            Ok(Final::Failed) | Err(_) => {
+            Ok(Final::Failed) => {
                 request.end(Ending::Failed);
                 plain(StatusCode::BAD_GATEWAY, "failed")
             }
+            // None is owed, as the client has left; it counts under no ending.
+            Err(_) => {
+                client.close();
+                plain(StatusCode::BAD_GATEWAY, "its client has left")
+            }
         }
     }
 
@@ -582,7 +588,8 @@
         // Guards against a request that is still open when the process is killed, and so is lost.
         let settled = self.draining.clone();
         let upload = Rc::new(upload);
-        let forward = Forward { method: head.method, uri, headers, upload, wait, settled };
+        let client = client.socket.peer();
+        let forward = Forward { method: head.method, uri, headers, upload, client, wait, settled };
         Ok(Taken { name, class, tenant, cost_hint, forward })
     }
 }
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -2,16 +2,19 @@
 
 use crate::stats::Stats;
 use hyper::rt::{Read, ReadBufCursor, Write};
+use nix::libc::POLLRDHUP;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::SockRef;
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::VecDeque;
-use std::io::{self, IoSlice};
+use std::io::{self, IoSlice, Read as _};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsFd;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
-use tokio::io::{Interest, Ready};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -145,10 +148,15 @@
     /// Bytes that were read ahead of whoever is to read them, and whether more came that were dropped.
     ahead: RefCell<VecDeque<u8>>,
     cut: Cell<bool>,
+    /// Nobody reads what comes, so that it may be read ahead.
+    reads_ahead: Cell<bool>,
     /// What is to be told once so many bytes are written.
     whole: RefCell<Option<(usize, Rc<Stats>)>>,
     /// It has to be quiet when its next byte is written.
     wants_quiet: Cell<bool>,
+    /// For whom it carries a request, and with how many bytes written in all that is whole.
+    client: RefCell<Peer>,
+    end: Cell<usize>,
     _permit: Permit,
 }
 
@@ -173,7 +181,8 @@
         let _ = stream.set_nodelay(true);
         let (read, most_read) = (Cell::new(0), Cell::new(usize::MAX));
         let (written, wants_quiet) = (Cell::new(0), Cell::new(false));
-        let (asking, blocked, ahead, cut) = Default::default();
+        let (asking, blocked, ahead, cut, reads_ahead) = Default::default();
+        let (client, end) = (RefCell::default(), Cell::new(usize::MAX));
         let (last_written, recent, whole) =
             (Cell::new(Instant::now()), RefCell::default(), RefCell::default());
         Socket(Rc::new(Inner {
@@ -188,8 +197,11 @@
             keeps_recent,
             ahead,
             cut,
+            reads_ahead,
             whole,
             wants_quiet,
+            client,
+            end,
             _permit: permit,
         }))
     }
@@ -215,10 +227,12 @@
         self.0.written.get()
     }
 
-    /// A new exchange begins: nothing may have come before its first byte is written, and so many bytes may come
-    /// until more is allowed.
-    pub fn begin(&self, most_read: usize) {
+    /// A new exchange begins for this client: nothing may have come before its first byte is written, and so many
+    /// bytes may come until more is allowed.
+    pub fn begin(&self, client: Peer, most_read: usize) {
         self.0.wants_quiet.set(true);
+        *self.0.client.borrow_mut() = client;
+        self.0.end.set(usize::MAX);
         self.0.most_read.set(self.read().saturating_add(most_read));
         *self.0.whole.borrow_mut() = None;
     }
@@ -230,6 +244,7 @@
 
     /// An attempt is whole, and counted, once so many bytes are written in all.
     pub fn count_at(&self, written: usize, stats: Rc<Stats>) {
+        self.0.end.set(written);
         *self.0.whole.borrow_mut() = Some((written, stats));
         self.note_written(0);
     }
@@ -269,18 +284,42 @@
     }
 
     /// Waits until bytes, the end or an error have come.
-    pub async fn stirs(&self) -> Ready {
-        let ready = self.0.stream.ready(Interest::READABLE | Interest::ERROR).await;
-        // What can't be asked any more has ended.
-        ready.unwrap_or(Ready::ERROR)
+    pub async fn stirs(&self) {
+        // What can't be waited for is asked.
+        let _ = self.0.stream.ready(Interest::READABLE | Interest::ERROR).await;
     }
 
-    /// True if the peer has closed or reset the connection. What it has sent before that may hide its end, or keep it
-    /// from coming: it is read ahead, and what is too much for that is dropped with all that follows.
-    pub fn ends_behind(&self) -> bool {
+    /// The other side of this connection, for those who ask after it and don't keep it open.
+    pub fn peer(&self) -> Peer {
+        Peer(Some(Rc::downgrade(&self.0)))
+    }
+
+    /// What comes may be read ahead, as nobody reads it, or may no more.
+    pub fn read_ahead(&self, may: bool) {
+        self.0.reads_ahead.set(may);
+    }
+
+    /// True if the peer has closed its connection, its half of it, or reset it, also with bytes unread before that.
+    /// Asks the kernel: the event loop knows only what had come when it last looked.
+    pub fn has_left(&self) -> bool {
+        let mut asked = [PollFd::new(self.0.stream.as_fd(), PollFlags::from_bits_retain(POLLRDHUP))];
+        poll(&mut asked, PollTimeout::ZERO).is_ok_and(|ended| ended > 0)
+            || self.0.reads_ahead.get() && self.ends_behind()
+    }
+
+    /// True if the end comes behind what there is to read. Too much of that keeps it from coming: it is read ahead, and
+    /// what is too much for that too is dropped with all that follows.
+    fn ends_behind(&self) -> bool {
         let mut bytes = [0; 8192];
         for _ in 0..MOST_PIECES {
-            match self.0.stream.try_read(&mut bytes) {
+            let read = match self.0.stream.try_read(&mut bytes) {
+                // The event loop may not know of it yet.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    (&*SockRef::from(&self.0.stream)).read(&mut bytes)
+                }
+                read => read,
+            };
+            match read {
                 Ok(0) => return true,
                 Ok(count) => {
                     let mut ahead = self.0.ahead.borrow_mut();
@@ -305,6 +344,18 @@
     }
 }
 
+/// The other side of a connection, which stays open without it; that of none never leaves.
+#[derive(Clone, Debug, Default)]
+pub struct Peer(Option<Weak<Inner>>);
+
+impl Peer {
+    /// True if it has left, or its connection is closed.
+    pub fn has_left(&self) -> bool {
+        let connection = self.0.as_ref().map(Weak::upgrade);
+        connection.is_some_and(|open| open.is_none_or(|inner| Socket(inner).has_left()))
+    }
+}
+
 impl Read for Socket {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -354,11 +405,19 @@
     fn poll_try(
         &self,
         cx: &mut Context<'_>,
+        length: usize,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        let first = self.0.wants_quiet.replace(false);
         // Guards against a request on a connection that has just been closed, and against what belongs to
         // the exchange before, come late, being taken for its answer.
-        if self.0.wants_quiet.replace(false) && !self.is_quiet() {
+        if first && !self.is_quiet() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        // Guards against sending on what nobody wants any more, however long ago the event loop has looked at its
+        // client: its upstream begins with the last byte.
+        let last = self.written().saturating_add(length) >= self.0.end.get();
+        if (first || last) && self.0.client.borrow().has_left() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         loop {
@@ -379,7 +438,7 @@
 
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_try(cx, |stream| stream.try_write(bytes))
+        self.poll_try(cx, bytes.len(), |stream| stream.try_write(bytes))
     }
 
     fn poll_write_vectored(
@@ -387,7 +446,8 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_try(cx, |stream| stream.try_write_vectored(slices))
+        let length = slices.iter().map(|slice| slice.len()).sum();
+        self.poll_try(cx, length, |stream| stream.try_write_vectored(slices))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -1,7 +1,7 @@
 //! Attempts at upstreams, and the idle connections that they leave behind.
 
 use crate::bodies::{Download, Memory, Sending, Upload, HELD_BACK, LARGEST_BODY, READ_AHEAD};
-use crate::socket::{Budget, Purpose, Socket};
+use crate::socket::{Budget, Peer, Purpose, Socket};
 use crate::stats::Stats;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
@@ -59,6 +59,7 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub upload: Rc<Upload>,
+    pub client: Peer,
     /// Its client waits for so long from its last byte on.
     pub wait: Duration,
     /// It is to be settled by then in any case, if this is said of the process.
@@ -251,6 +252,7 @@
             let fresh = kept.is_none();
             let (socket, idle) = match kept {
                 Some(kept) => kept,
+                None if self.request.client.has_left() => return Err(Outcome::NotSent),
                 None => {
                     let socket = tokio::select! {
                         biased;
@@ -279,6 +281,7 @@
                 }
                 // Guards against blaming the upstream for a client that broke off.
                 Some(_) if self.request.upload.broken().is_some() => Err(Outcome::NotSent),
+                Some(_) if !handed_over && self.request.client.has_left() => Err(Outcome::NotSent),
                 // Guards against an answer that was there before its request.
                 Some(Ok((answer, _))) => answer.and(Err(Outcome::ConnectFailed)),
                 // A kept connection that was found dead in time tells nothing of the upstream.
@@ -317,7 +320,7 @@
     /// bytes behind an answer that stay in its buffer, and would be the next answer's beginning: only a socket
     /// from which nothing more has come is used again.
     async fn exchange(&self, socket: &Socket, whole: Rc<Cell<usize>>) -> hyper::Result<(Ended, bool)> {
-        socket.begin(LARGEST_PREFACE);
+        socket.begin(self.request.client.clone(), LARGEST_PREFACE);
         let begin = socket.written();
         let message = self.message(|head| {
             let (socket, stats) = (socket.clone(), self.pool.stats.clone());
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -2,13 +2,17 @@
 
 mod peers;
 use peers::*;
-use std::net::SocketAddr;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 const ID: &str = "Request-Id: {id}\r\n";
 /// The most that is read of a client while its request waits, and much more than that.
 const BEHIND: [usize; 3] = [0, 20, 200_000];
+/// What the kernel takes for a program that stands still.
+const BEHIND_STILL: [usize; 3] = [0, 20, 30_000];
 
 fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let begun = Instant::now();
@@ -42,22 +46,25 @@
     }
 }
 
-/// Calls that fill what an upstream may have at a time, and one more that waits.
+/// The same, and its end has reached the program's machine.
+fn leave_unseen(program: &Program, client: Client, behind: usize, reset: bool) {
+    let port = client.port();
+    leave(client, behind, reset);
+    until("its end has come", || program.has_end_of(port));
+}
+
+/// Calls that fill what an upstream may have at a time, two at the start, and one more that waits.
 fn held(program: &Program, upstream: &Upstream, path: &str) -> (Vec<Client>, Client) {
-    let mut running = Vec::new();
-    loop {
+    let next = |count, figure| {
         let mut client = program.client();
         client.send(path, ID, "").unwrap();
-        running.push(client);
-        let taken = running.len() as u64;
-        until("it is taken", || program.figure("in_flight") == taken);
-        // One that is not held is written whole before it is told as taken by a second look.
-        if program.figure("attempts") < taken {
-            let waiting = running.pop().unwrap();
-            (1..taken).for_each(|_| drop(upstream.next()));
-            return (running, waiting);
-        }
-    }
+        until(figure, || program.figure(figure) == count);
+        client
+    };
+    let running = vec![next(1, "attempts"), next(2, "attempts")];
+    let waiting = next(3, "in_flight");
+    running.iter().for_each(|_| drop(upstream.next()));
+    (running, waiting)
 }
 
 /// Guards against a request that is sent on after its client has left while it was held, also where bytes behind it
@@ -175,3 +182,172 @@
         assert_eq!(program.figure("in_flight"), 0);
     }
 }
+
+/// The next that reaches the upstream is a request that comes now: nothing of those that have left does.
+fn only_new_ones_come(program: &Program, upstream: &Upstream, what: &str) {
+    assert_eq!(program.client().ask("/pay/last", ID, "").status(), 200, "{what}");
+    assert_eq!(upstream.next().first, "POST /pay/last HTTP/1.1", "{what}");
+}
+
+/// Guards against the order in which a program that was short of its core takes what has come meanwhile: many clients
+/// have left, each in a way of its own, and slots have become free, before or after that.
+#[test]
+fn held_requests_whose_clients_left_while_the_program_stood_still_are_not_sent_on() {
+    for behind in BEHIND_STILL {
+        for free_first in [false, true] {
+            let upstream = Upstream::start(Reply::Hold);
+            let (program, _discovery) = patient(&[upstream.address], true);
+            let (mut running, waiting) = held(&program, &upstream, "/pay");
+            let mut leaving = vec![waiting];
+            for _ in 0..7 {
+                let mut client = program.client();
+                client.send("/pay", ID, "").unwrap();
+                leaving.push(client);
+            }
+            let all = (running.len() + leaving.len()) as u64;
+            until("all are taken", || program.figure("in_flight") == all);
+            program.hold();
+            let free = || {
+                upstream.release();
+                let count = running.len() as u64;
+                until("all have answered", || upstream.answered.load(Ordering::SeqCst) == count);
+            };
+            free_first.then(free);
+            for (number, client) in leaving.into_iter().enumerate() {
+                leave_unseen(&program, client, behind, number % 2 == 1);
+            }
+            (!free_first).then(free);
+            program.go_on();
+            running.iter_mut().for_each(|client| drop(client.receive().unwrap().expect("an answer")));
+            only_new_ones_come(&program, &upstream, &format!("{behind} {free_first}"));
+        }
+    }
+}
+
+/// The same for a client that left before its request was read.
+#[test]
+fn a_request_whose_client_left_before_it_was_read_is_not_sent_on() {
+    for behind in BEHIND_STILL {
+        let upstream = Upstream::start(Reply::Ok);
+        let (program, _discovery) = patient(&[upstream.address], true);
+        for _ in 0..4 {
+            let mut client = program.client();
+            assert_eq!(client.ask("/read", ID, "").status(), 200);
+            upstream.next();
+            program.hold();
+            client.send("/pay", ID, "coins").unwrap();
+            leave_unseen(&program, client, behind, false);
+            program.go_on();
+            only_new_ones_come(&program, &upstream, &behind.to_string());
+        }
+    }
+}
+
+/// The same for one whose first attempt has been turned away meanwhile, while the other upstream's slots became free.
+#[test]
+fn a_request_whose_client_left_while_the_program_stood_still_is_not_tried_again() {
+    for behind in BEHIND_STILL {
+        let (full, busy) = (Upstream::start(Reply::Hold), Upstream::start(Reply::Hold));
+        let (program, _discovery) = patient(&[full.address, busy.address], true);
+        let mut clients: Vec<_> = (0..4).map(|_| program.client()).collect();
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send(&format!("/pay/{number}"), ID, "").unwrap();
+        }
+        until("all are out", || program.figure("attempts") == 4);
+        let gone = [full.next().first, full.next().first];
+        program.hold();
+        full.set(Reply::NotStarted);
+        for upstream in [&full, &busy] {
+            upstream.release();
+            until("it has answered", || upstream.answered.load(Ordering::SeqCst) == 2);
+        }
+        for (number, client) in clients.into_iter().enumerate() {
+            if gone.contains(&format!("POST /pay/{number} HTTP/1.1")) {
+                leave_unseen(&program, client, behind, false);
+            }
+        }
+        program.go_on();
+        until("nothing is left", || program.figure("in_flight") == 0);
+        assert!(busy.seen.try_iter().all(|message| !gone.contains(&message.first)), "{behind}");
+    }
+}
+
+/// The same for one whose connection to its upstream came up meanwhile.
+#[test]
+fn a_request_whose_client_left_while_the_program_stood_still_is_not_sent_on_a_new_connection() {
+    for cancel in [true, false] {
+        for behind in BEHIND_STILL {
+            let door = Door::shut();
+            let (program, discovery) = patient(&[door.address], cancel);
+            let _watch = discovery.next();
+            until("nothing is open", || program.figure("in_flight") == 0);
+            let before = program.descriptors();
+            let mut client = program.client();
+            client.send("/pay", ID, "coins").unwrap();
+            until("it connects", || program.descriptors() == before + 2);
+            program.hold();
+            let all = door.waiting.len() as u64 + 1;
+            let upstream = door.open(Reply::Ok);
+            until("its connection is up", || upstream.connections.load(Ordering::SeqCst) == all);
+            leave_unseen(&program, client, behind, false);
+            program.go_on();
+            until("its end is seen", || program.figure("in_flight") == 0);
+            only_new_ones_come(&program, &upstream, &format!("{cancel} {behind}"));
+        }
+    }
+}
+
+/// Guards against the last byte of a body, with which its upstream begins, that is passed on though its client has
+/// left behind it.
+#[test]
+fn a_streamed_body_whose_client_left_while_the_program_stood_still_stays_unfinished() {
+    for cancel in [true, false] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (program, _discovery) = patient(&[listener.local_addr().unwrap()], cancel);
+        for number in 0..8 {
+            let mut client = program.client();
+            client.write(&format!("POST /pay/half HTTP/1.1\r\nHost: b\r\nRequest-Id: d{number}\r\n"));
+            client.write("Content-Length: 150000\r\n\r\n");
+            client.write(&"x".repeat(149_000));
+            let (mut upstream, _) = listener.accept().unwrap();
+            // With the head before it, nearly all that has been written so far.
+            upstream.read_exact(&mut [0; 149_000]).unwrap();
+            program.hold();
+            client.write(&"x".repeat(1000));
+            leave_unseen(&program, client, 0, false);
+            program.go_on();
+            let mut rest = Vec::new();
+            // It may end in a reset.
+            let _ = upstream.read_to_end(&mut rest);
+            assert!(rest.len() < 1000, "{cancel} {}", rest.len());
+        }
+        until("nothing is left", || program.figure("in_flight") == 0);
+    }
+}
+
+/// A client that closes the half on which it sends counts as gone, as its end can't be told from a close: what it asked
+/// for is not sent on, and its connection ends without an answer.
+#[test]
+fn a_client_that_half_closes_has_gone() {
+    for behind in BEHIND_STILL {
+        let upstream = Upstream::start(Reply::Hold);
+        let (program, _discovery) = patient(&[upstream.address], true);
+        let (mut running, mut waiting) = held(&program, &upstream, "/pay");
+        waiting.write(&"x".repeat(behind));
+        waiting.half_close();
+        assert!(waiting.is_closed(), "{behind}");
+        let left = running.len() as u64;
+        until("its end is seen", || program.figure("in_flight") == left);
+        upstream.release();
+        running.iter_mut().for_each(|client| drop(client.receive().unwrap().expect("an answer")));
+        program.hold();
+        let mut early = program.client();
+        early.send("/pay", ID, "coins").unwrap();
+        early.half_close();
+        until("its end has come", || program.has_end_of(early.port()));
+        program.go_on();
+        assert!(early.receive().unwrap().is_none_or(|answer| answer.status() == 502), "{behind}");
+        only_new_ones_come(&program, &upstream, &behind.to_string());
+        assert_eq!(program.figure("failed.pay"), 0);
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -4,7 +4,7 @@
 
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -108,6 +108,8 @@
     /// One message for each connection that ended.
     pub closed: Receiver<()>,
     pub connections: Arc<AtomicU64>,
+    /// Answers that have been written.
+    pub answered: Arc<AtomicU64>,
     reply: Arc<Mutex<Reply>>,
     gate: Arc<Gate>,
 }
@@ -125,12 +127,14 @@
         let (closing, closed) = channel();
         let reply = Arc::new(Mutex::new(reply));
         let connections = Arc::new(AtomicU64::new(0));
+        let answered = Arc::new(AtomicU64::new(0));
         let gate = Arc::new((Mutex::new(false), Condvar::new()));
         let upstream = Upstream {
             address: listener.local_addr().unwrap(),
             seen,
             closed,
             connections: connections.clone(),
+            answered: answered.clone(),
             reply: reply.clone(),
             gate: gate.clone(),
         };
@@ -138,10 +142,10 @@
             for stream in listener.incoming().map_while(Result::ok) {
                 connections.fetch_add(1, Ordering::SeqCst);
                 let (reply, sender, closing) = (reply.clone(), sender.clone(), closing.clone());
-                let gate = gate.clone();
+                let (gate, answered) = (gate.clone(), answered.clone());
                 thread::spawn(move || {
                     // However the connection ends, it has ended.
-                    let _ = answer_all(stream, &reply, &sender, &gate);
+                    let _ = answer_all(stream, &reply, &sender, &gate, &answered);
                     let _ = closing.send(());
                 });
             }
@@ -174,6 +178,7 @@
     reply: &Mutex<Reply>,
     seen: &Sender<Message>,
     gate: &Gate,
+    answered: &AtomicU64,
 ) -> io::Result<()> {
     let mut out = stream.try_clone()?;
     let mut input = BufReader::new(stream);
@@ -209,6 +214,7 @@
                 return Ok(());
             }
         }
+        answered.fetch_add(1, Ordering::SeqCst);
     }
     Ok(())
 }
@@ -325,7 +331,8 @@
 pub struct Door {
     pub address: SocketAddr,
     listener: TcpListener,
-    waiting: Vec<TcpStream>,
+    /// What keeps others out.
+    pub waiting: Vec<TcpStream>,
 }
 
 impl Door {
@@ -484,6 +491,18 @@
     /// Holds the program still until it is to go on; what it is told meanwhile waits for that.
     pub fn hold(&self) {
         self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+            thread::yield_now();
+        }
+    }
+
+    /// True once the close or the reset of the client with this port has reached the machine of the program, read or not.
+    pub fn has_end_of(&self, client: u16) -> bool {
+        let (here, there) = (format!(":{:04X}", self.address.port()), format!(":{client:04X}"));
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let mut rows = table.lines().map(|line| line.split_whitespace().skip(1).collect::<Vec<_>>());
+        rows.all(|row| !(row[0].ends_with(&here) && row[1].ends_with(&there) && row[2] == ESTABLISHED))
     }
 
     pub fn go_on(&self) {
@@ -525,6 +544,9 @@
     }
 }
 
+/// A connection that is up and of which neither side has closed, as the kernel's table names it.
+const ESTABLISHED: &str = "01";
+
 static IDS: AtomicU64 = AtomicU64::new(0x1000);
 
 /// A client's connection.
@@ -551,6 +573,15 @@
         self.out.write_all(text.as_bytes())
     }
 
+    pub fn port(&self) -> u16 {
+        self.out.local_addr().unwrap().port()
+    }
+
+    /// Closes the half of the connection on which it sends.
+    pub fn half_close(&self) {
+        self.out.shutdown(Shutdown::Write).unwrap();
+    }
+
     /// Resets the connection.
     pub fn reset(self) {
         SockRef::from(&self.out).set_linger(Some(Duration::ZERO)).unwrap();
--- a/tests/unit/driver.rs
+++ b/tests/unit/driver.rs
@@ -37,7 +37,8 @@
 fn request(wait: Duration) -> Taken {
     let (method, uri, headers) = (Method::GET, Uri::from_static("/call"), HeaderMap::new());
     let upload = Rc::new(Upload::empty());
-    let forward = Forward { method, uri, headers, upload, wait, settled: Rc::default() };
+    let (client, settled) = Default::default();
+    let forward = Forward { method, uri, headers, upload, client, wait, settled };
     thread_local!(static LAST: Cell<u64> = const { Cell::new(0) });
     let name = LAST.with(|last| last.replace(last.get() + 1).to_string());
     Taken { name, class: 0, tenant: 0, cost_hint: None, forward }
