Never shut a client that asks for the sake of those that don't

Ruled out: the queue of the kernel (4,096, all of it is taken in one turn), the parts of the budget (clients hold 14 of 64 to 597 of 1,024 and a third is what they are owed), discovery and the admin endpoint, which got through.

Cause, in server.rs: what was silent for less than 30 ms could not make room (dearness), so that a burst filled all places and whoever came behind it was shut; connections that had ended unnoticed could not make room either (is_quiet), nor those whose task had not run yet (serve entered them); two turns were waited for a task to close, however many were to run before it; and whoever was taken only to be refused was refused, also if there was room when it asked.

Change: what has never carried a request goes last, but goes, the longest first; only bytes unread keep a connection; it is known from the moment it is taken; make_room waits for the close itself; and a refusal is decided when the request is there.

--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::{spawn_local, yield_now};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// Connections that the kernel takes for us while the loop is busy.
@@ -76,6 +76,8 @@
     /// It is to make room.
     evicting: Cell<bool>,
     evicted: Notify,
+    /// It has made room, or has not.
+    settled: Rc<Notify>,
 }
 
 impl Client {
@@ -93,6 +95,7 @@
             close: Notify::new(),
             evicting: Cell::new(false),
             evicted: Notify::new(),
+            settled: Rc::default(),
         })
     }
 
@@ -155,7 +158,8 @@
 
     /// How dear it is, if it may be closed to make room. Those that have waited long for a further request go first,
     /// then those that have never sent anything or only asked for health, those that don't finish their first
-    /// request, and at last any that wait for a further one; among the same, the longest.
+    /// request, those that wait for a further one, and at last any on which nothing but calls for health has come;
+    /// among the same, the longest.
     fn dearness(&self) -> Option<(usize, Instant)> {
         let spare = !self.evicting.get() && !self.socket.is_blocked();
         let since = self.idle.get().filter(|_| spare)?;
@@ -166,6 +170,8 @@
             (false, None) if age >= SILENT && !self.asked.get() => 1,
             (_, Some(asking)) if asking.elapsed() >= HALF_SENT => 2,
             (false, None) if age >= HALF_SENT => 3,
+            // Guards against shutting whoever comes with a request for the sake of those that come with nothing.
+            (_, None) if !self.asked.get() => 4,
             _ => return None,
         };
         Some((kind, since))
@@ -323,27 +329,49 @@
         let refused = permit.is_none();
         // With no room even for a refusal, closing is all that is left.
         let Some(permit) = permit.or_else(|| self.budget.take(Purpose::Refusal)) else { return };
-        spawn_local(self.clone().serve(Socket::of_client(stream, permit), refused));
+        let number = self.accepted.get();
+        self.accepted.set(number + 1);
+        let client = Client::new(Socket::of_client(stream, permit));
+        self.clients.borrow_mut().insert(number, client.clone());
+        spawn_local(self.clone().serve(number, client, refused));
     }
 
     /// Closes the client's connection that can best be spared; false if there is none.
     async fn make_room(&self) -> bool {
-        {
-            let clients = self.clients.borrow();
-            let spare = clients.values().filter_map(|client| Some((client.dearness()?, client)));
-            let mut spare: Vec<_> = spare.collect();
-            spare.sort_unstable_by_key(|(dearness, _)| *dearness);
-            // Guards against closing on a request that has come and is still unread. Asking the kernel is dear, so
-            // it is asked of few.
-            let Some((_, client)) = spare.iter().find(|(_, client)| client.socket.is_quiet()) else {
-                return false;
+        loop {
+            let (number, settled) = {
+                let clients = self.clients.borrow();
+                let spare = clients.iter().filter_map(|(number, client)| Some((client.dearness()?, number)));
+                let mut spare: Vec<_> = spare.collect();
+                spare.sort_unstable();
+                // Guards against closing on a request that has come and is still unread. Asking the kernel is dear,
+                // so it is asked of few.
+                let mut spare = spare.into_iter().map(|(_, number)| (*number, &clients[number]));
+                let Some((number, client)) = spare.find(|(_, client)| !client.socket.has_unread()) else {
+                    return false;
+                };
+                client.evicting.set(true);
+                client.evicted.notify_one();
+                (number, client.settled.clone())
             };
-            client.evicting.set(true);
-            client.evicted.notify_one();
+            // Its task closes it, unless something has come meanwhile.
+            settled.notified().await;
+            if !self.clients.borrow().contains_key(&number) {
+                return true;
+            }
+        }
+    }
+
+    /// True if there is room after all for a client that found none when it came. Guards against turning away whoever
+    /// asks for the sake of those that don't.
+    async fn has_room_now(&self, client: &Client) -> bool {
+        // It is not to make that room itself.
+        client.idle.set(None);
+        while self.budget.is_over() {
+            if !self.make_room().await {
+                return false;
+            }
         }
-        // Lets the connection's task close it.
-        yield_now().await;
-        yield_now().await;
         true
     }
 
@@ -352,20 +380,16 @@
         self.draining.get().is_some() || self.away.get().is_some()
     }
 
-    async fn serve(self: Rc<Self>, socket: Socket, refused: bool) {
-        let number = self.accepted.get();
-        self.accepted.set(number + 1);
-        let client = Client::new(socket.clone());
-        self.clients.borrow_mut().insert(number, client.clone());
+    async fn serve(self: Rc<Self>, number: u64, client: Rc<Client>, refused: bool) {
         let last = refused || self.sheds();
         let mut http = http1::Builder::new();
         http.keep_alive(!last).max_buf_size(LARGEST_HEAD).max_headers(MOST_HEADERS);
-        client.closing.set(last);
+        client.closing.set(last || client.closing.get());
         let service = service_fn(|request| {
             let (server, client) = (&self, &client);
             async move {
                 client.idle.set(Some(if client.fresh.get() { client.opened } else { Instant::now() }));
-                let mut answer = match refused {
+                let mut answer = match refused && !server.has_room_now(client).await {
                     true => server.refuse(&request),
                     false => server.answer(request, client).await,
                 };
@@ -381,7 +405,7 @@
             }
         });
         {
-            let connection = http.serve_connection(socket, service);
+            let connection = http.serve_connection(client.socket.clone(), service);
             let (stuck, left) = (client.stuck(), client.left());
             tokio::pin!(connection, stuck, left);
             loop {
@@ -400,14 +424,16 @@
                     () = &mut left => break,
                     () = client.evicted.notified() => {
                         client.evicting.set(false);
-                        if client.idle.get().is_some() && client.socket.is_quiet() {
+                        if client.idle.get().is_some() && !client.socket.has_unread() {
                             break;
                         }
+                        client.settled.notify_one();
                     }
                 }
             }
         }
         self.clients.borrow_mut().remove(&number);
+        client.settled.notify_one();
     }
 
     /// There is no room for whoever asks. A request is refused like any other, and counted.
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -100,6 +100,12 @@
         })
     }
 
+    /// True while clients hold more than their part, so that one has come that was only to be refused.
+    pub fn is_over(&self) -> bool {
+        let open = self.clients.get() + self.others.get();
+        self.clients.get() > self.most_clients.get() || open + DISCOVERY + REFUSALS > self.most.get()
+    }
+
     fn count(&self, purpose: Purpose) -> &Cell<usize> {
         match purpose {
             Purpose::Client | Purpose::Refusal => &self.clients,
@@ -294,6 +300,12 @@
         false
     }
 
+    /// True if the peer has sent something that is still unread, closed or not. Asks the kernel, as below.
+    pub fn has_unread(&self) -> bool {
+        let peeked = SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()]);
+        !self.0.ahead.borrow().is_empty() || matches!(peeked, Ok(1..))
+    }
+
     /// True if the peer has neither closed nor sent anything that is still unread. Asks the kernel: what the
     /// event loop knows may be older than the peer's farewell.
     pub fn is_quiet(&self) -> bool {
--- /dev/null
+++ b/tests/descriptors.rs
@@ -0,0 +1,171 @@
+//! Descriptors when idle clients take all that they can get: what is left for discovery, for operators and for proper
+//! requests.
+
+mod peers;
+use peers::*;
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{self, sleep, JoinHandle};
+use std::time::{Duration, Instant};
+
+const ID: &str = "Request-Id: {id}\r\n";
+/// The least descriptors, and the most that are common.
+const LIMITS: [usize; 4] = [64, 128, 256, 1024];
+
+/// Waits until this holds; whatever it waits for has to come.
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begin = Instant::now();
+    while !holds() {
+        assert!(begin.elapsed() < PATIENCE, "{what}");
+        sleep(Duration::from_millis(5));
+    }
+}
+
+fn start(known: &str, discovery: SocketAddr, sockets: usize, mode: &str) -> Program {
+    let mode = format!("\"discovery\":\"{mode}\"");
+    let config = config(known, discovery, sockets).replace("\"discovery\":\"ask\"", &mode);
+    Program::start_with(&[("PROXY_CONSOLE", "127.0.0.1:0")], &config, "127.0.0.1:0")
+}
+
+/// So many connections on which nothing comes.
+fn idle(address: SocketAddr, count: usize) -> Vec<TcpStream> {
+    (0..count).map(|_| TcpStream::connect(address).unwrap()).collect()
+}
+
+/// Idle clients that hold more connections than there are descriptors, and open new ones all the time.
+struct Crowd {
+    over: Arc<AtomicBool>,
+    clients: Option<JoinHandle<()>>,
+}
+
+impl Crowd {
+    fn at(address: SocketAddr, count: usize) -> Self {
+        let mut open: VecDeque<_> = idle(address, count).into();
+        let over = Arc::new(AtomicBool::new(false));
+        let ends = over.clone();
+        let clients = thread::spawn(move || {
+            while !ends.load(Ordering::SeqCst) {
+                open.pop_front();
+                open.extend(idle(address, 1));
+                sleep(Duration::from_millis(1));
+            }
+        });
+        Crowd { over, clients: Some(clients) }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::SeqCst);
+        // One that panicked has said so.
+        let _ = self.clients.take().map(JoinHandle::join);
+    }
+}
+
+/// Guards against a proper request that is shut unread because it comes in the midst of idle connections, all taken in
+/// one turn, and of others that have ended unnoticed: whoever has asked goes before whoever has not.
+#[test]
+fn a_request_among_idle_connections_is_the_last_to_be_shut() {
+    for sockets in LIMITS {
+        let upstream = Upstream::start(Reply::Ok);
+        let (program, _discovery) = Program::with_sockets(&[upstream.address], sockets);
+        let ended = idle(program.address, sockets);
+        until("they fill it", || program.descriptors() > sockets / 3);
+        program.hold();
+        drop(ended);
+        let mut open = idle(program.address, sockets);
+        let mut proper: Vec<_> = (0..4)
+            .map(|_| {
+                let mut client = program.client();
+                client.send("/pay", ID, "coins").unwrap();
+                open.extend(idle(program.address, sockets / 8));
+                client
+            })
+            .collect();
+        open.extend(idle(program.address, sockets));
+        program.go_on();
+        for client in &mut proper {
+            let answer = client.receive().unwrap_or_default().map(|answer| answer.status());
+            assert_eq!(answer, Some(200), "{sockets}");
+        }
+        assert!(program.descriptors() <= sockets);
+    }
+}
+
+/// Guards against turning away a request for want of room that there was when its connection came, and that is free
+/// again when it asks.
+#[test]
+fn whoever_found_no_room_is_served_if_there_is_room_when_it_asks() {
+    let upstream = Upstream::start(Reply::Hold);
+    let discovery = DiscoveryPeer::start();
+    let known = list(5, true, &[endpoint("u0", upstream.address, "in_service")]);
+    let program = start(&known, discovery.address, 64, "ask");
+    let full = 14;
+    let mut busy: Vec<_> = (0..full).map(|_| program.client()).collect();
+    busy.iter_mut().for_each(|client| client.send("/read", ID, "").unwrap());
+    until("they fill it", || program.figure("in_flight") == full);
+    let mut refused = program.client();
+    assert_eq!(refused.ask("/read", ID, "").status(), 503);
+    program.hold();
+    let mut late = program.client();
+    late.send("/read", ID, "").unwrap();
+    drop(busy);
+    upstream.release();
+    program.go_on();
+    assert_eq!(late.receive().unwrap().map(|answer| answer.status()), Some(200));
+}
+
+/// Sends a request on a new connection, with all of it there before the program takes the connection.
+fn ask_at_once(program: &Program, path: &str) -> Client {
+    program.hold();
+    let mut client = program.client();
+    client.send(path, ID, "").unwrap();
+    program.go_on();
+    client
+}
+
+/// Guards against a watch that finds no descriptor once discovery is back, an operator who finds nobody, and proper
+/// requests that are not served then. Nothing is known of upstreams, or only old news of one that is gone.
+#[test]
+fn behind_an_idle_crowd_requests_are_served_once_discovery_has_spoken() {
+    for (sockets, mode, empty) in [
+        (64, "ask", true),
+        (128, "push", false),
+        (256, "push", true),
+        (256, "ask", false),
+        (1024, "ask", true),
+    ] {
+        let upstreams = [Upstream::start(Reply::Ok), Upstream::start(Reply::Ok)];
+        let (gone, down) = (Refusing::new(), Refusing::new());
+        let old = if empty { vec![] } else { vec![endpoint("u0", gone.address, "in_service")] };
+        let program = start(&list(5, true, &old), down.address, sockets, mode);
+        let crowd = Crowd::at(program.address, 2 * sockets);
+        let mut early = ask_at_once(&program, "/read");
+        for _ in 0..10 {
+            assert_eq!(program.call("GET /healthcheck").0, if empty { 503 } else { 200 });
+            assert_eq!(program.call("GET /stats").0, 200);
+            assert!(program.descriptors() <= sockets, "{sockets}");
+        }
+        let discovery = down.discovery();
+        let mut watch = discovery.next();
+        // It is silent at first, so that where lists are pushed another watch is opened beside it.
+        let other = (mode == "push").then(|| discovery.next());
+        assert_eq!(program.call("GET /stats").0, 200);
+        let new = [1, 2].map(|n| endpoint(&format!("u{n}"), upstreams[n - 1].address, "in_service"));
+        watch.line(&list(6, true, &new));
+        until("the list has come", || program.figure("upstreams_known") == 2);
+        for _ in 0..8 {
+            let mut client = ask_at_once(&program, "/read");
+            let answer = client.receive().unwrap_or_default().map(|answer| answer.status());
+            assert_eq!(answer, Some(200), "{sockets} {mode}");
+            assert!(program.descriptors() <= sockets, "{sockets}");
+        }
+        if empty {
+            // It has waited for that.
+            assert_eq!(early.receive().unwrap().map(|answer| answer.status()), Some(200));
+        }
+        drop((crowd, other));
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -227,7 +227,10 @@
 
 impl DiscoveryPeer {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    fn on(listener: TcpListener) -> Self {
         let address = listener.local_addr().unwrap();
         let (sender, watches) = channel();
         thread::spawn(move || {
@@ -341,6 +344,27 @@
     }
 }
 
+/// An address that refuses connections, and that nobody else can take.
+pub struct Refusing {
+    pub address: SocketAddr,
+    socket: Socket,
+}
+
+impl Refusing {
+    pub fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        Refusing { address, socket }
+    }
+
+    /// From now on discovery is there.
+    pub fn discovery(self) -> DiscoveryPeer {
+        self.socket.listen(128).unwrap();
+        DiscoveryPeer::on(self.socket.into())
+    }
+}
+
 fn shut() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
