Give discovery descriptors of its own, which a smaller limit does not take

Ruled out: the crowd of idle clients, which makes room.

Cause, in socket.rs: discovery had what was left of the whole (open < most), and an upgrade makes the whole smaller than what clients and upstreams hold, who can't be closed. Change: it is counted by itself like the admin endpoint, four at a time, and kept back in held(), so that the other process is not promised it. Seen to fail without it (20 s).

--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -19,7 +19,8 @@
 const OTHER_FILES: usize = 16;
 /// Kept free so that a client can still be told 503 when there is room for nothing else.
 const REFUSALS: usize = 8;
-/// Kept free for discovery, which must get through when all else is crowded.
+/// Kept free for discovery, which must get through when all else is crowded: the watches that are followed at a time, and
+/// one that takes the place of another.
 const DISCOVERY: usize = 4;
 /// Kept free for the admin endpoint, where there is one: whatever the load is, operators get through.
 const ADMIN: usize = 12;
@@ -52,6 +53,7 @@
 pub struct Budget {
     clients: Cell<usize>,
     others: Cell<usize>,
+    discovery: Cell<usize>,
     admin: Cell<usize>,
     most: Cell<usize>,
     most_clients: Cell<usize>,
@@ -60,37 +62,39 @@
 
 impl Budget {
     pub fn new(descriptors: usize, admin: bool) -> Rc<Self> {
-        let (clients, others, admin_open, most, most_clients) = Default::default();
+        let (clients, others, discovery, admin_open, most, most_clients) = Default::default();
         let most_admin = if admin { ADMIN } else { 0 };
-        let budget = Budget { clients, others, admin: admin_open, most, most_clients, most_admin };
+        let budget = Budget { clients, others, discovery, admin: admin_open, most, most_clients, most_admin };
         budget.limit(descriptors);
         Rc::new(budget)
     }
 
     /// From now on the process may hold so many descriptors; what is open beyond that stays open.
     pub fn limit(&self, descriptors: usize) {
-        self.most.set(descriptors.saturating_sub(OTHER_FILES + self.most_admin));
-        let shared = self.most.get().saturating_sub(DISCOVERY + REFUSALS) as f64;
+        self.most.set(descriptors.saturating_sub(self.kept()));
+        let shared = self.most.get().saturating_sub(REFUSALS) as f64;
         self.most_clients.set((shared * (1.0 - UPSTREAM_PART)) as usize);
     }
 
     /// Descriptors that the process holds now, with all that it keeps back.
     pub fn held(&self) -> usize {
-        self.clients.get() + self.others.get() + OTHER_FILES + self.most_admin
+        self.clients.get() + self.others.get() + self.kept()
+    }
+
+    /// Descriptors that neither clients nor upstreams may have.
+    fn kept(&self) -> usize {
+        OTHER_FILES + DISCOVERY + self.most_admin
     }
 
     /// Room for one more, if there is.
     pub fn take(self: &Rc<Self>, purpose: Purpose) -> Option<Permit> {
         let (clients, open) = (self.clients.get(), self.clients.get() + self.others.get());
         let free = match purpose {
-            Purpose::Upstream => open + DISCOVERY + REFUSALS < self.most.get(),
-            Purpose::Client => {
-                clients < self.most_clients.get() && open + DISCOVERY + REFUSALS < self.most.get()
-            }
-            Purpose::Refusal => {
-                clients < self.most_clients.get() + REFUSALS && open + DISCOVERY < self.most.get()
-            }
-            Purpose::Discovery => open < self.most.get(),
+            Purpose::Upstream => open + REFUSALS < self.most.get(),
+            Purpose::Client => clients < self.most_clients.get() && open + REFUSALS < self.most.get(),
+            Purpose::Refusal => clients < self.most_clients.get() + REFUSALS && open < self.most.get(),
+            // Also where the others hold more than their part, as that has just been made smaller.
+            Purpose::Discovery => self.discovery.get() < DISCOVERY,
             Purpose::Admin => self.admin.get() < self.most_admin,
         };
         free.then(|| {
@@ -103,13 +107,14 @@
     /// True while clients hold more than their part, so that one has come that was only to be refused.
     pub fn is_over(&self) -> bool {
         let open = self.clients.get() + self.others.get();
-        self.clients.get() > self.most_clients.get() || open + DISCOVERY + REFUSALS > self.most.get()
+        self.clients.get() > self.most_clients.get() || open + REFUSALS > self.most.get()
     }
 
     fn count(&self, purpose: Purpose) -> &Cell<usize> {
         match purpose {
             Purpose::Client | Purpose::Refusal => &self.clients,
-            Purpose::Upstream | Purpose::Discovery => &self.others,
+            Purpose::Upstream => &self.others,
+            Purpose::Discovery => &self.discovery,
             Purpose::Admin => &self.admin,
         }
     }
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -169,3 +169,32 @@
         drop((crowd, other));
     }
 }
+
+/// Guards against a watch that is lost while a new process has half of the descriptors, and clients with open requests
+/// hold more than the other half: they can't be closed, and discovery has a part of its own.
+#[test]
+fn a_watch_comes_back_while_a_new_process_has_half_of_the_descriptors() {
+    let upstreams: Vec<_> = (0..12).map(|_| Upstream::start(Reply::Hold)).collect();
+    let entry =
+        |(n, upstream): (usize, &Upstream)| endpoint(&format!("u{n}"), upstream.address, "in_service");
+    let known = list(5, true, &upstreams.iter().enumerate().map(entry).collect::<Vec<_>>());
+    let (folder, discovery, other) = (folder(), DiscoveryPeer::start(), DiscoveryPeer::start());
+    let config = |discovery| {
+        config(&known, discovery, 256)
+            .replace("\"aim\":5.0,\"hardLimit\":10.0", "\"aim\":60.0,\"hardLimit\":60.0")
+            .replace("\"discovery\":\"ask\"", "\"discovery\":\"push\"")
+    };
+    let variables = [("TMPDIR", folder.to_str().unwrap()), ("PROXY_CONSOLE", "127.0.0.1:0")];
+    let old = Program::start_with(&variables, &config(discovery.address), "127.0.0.1:0");
+    let mut watch = discovery.next();
+    watch.line("");
+    let mut busy: Vec<_> = (0..110).map(|_| old.client()).collect();
+    busy.iter_mut().for_each(|client| client.send("/read", ID, "").unwrap());
+    until("they are taken", || old.figure("in_flight") == 110);
+    let new = Program::start_with(&variables, &config(other.address), &old.address.to_string());
+    watch.reset();
+    discovery.next();
+    assert_eq!(old.figure("in_flight"), 110);
+    assert_eq!(new.call("GET /healthcheck").0, 200);
+    std::fs::remove_dir_all(folder).unwrap();
+}
