Promise no more descriptors than the system lets the process hold

Seen: with limits.sockets of 1,024 and a limit of the system of 128, a crowd of idle clients took all of them; operators and discovery lived on one that was freed each 10 ms, and a client behind the crowd waited for as long. Cause: the budget knew the configuration alone (config.rs). Change: the smaller of the two counts, with a line in the log.

--- a/src/bin/magpiechute/config.rs
+++ b/src/bin/magpiechute/config.rs
@@ -1,6 +1,7 @@
 //! What the balancer is told at its start: `PROXY_CONFIG`, and the variables that repeat parts of it.
 
 use crate::discovery::List;
+use crate::log;
 use ryequay::wire::{self, BadSetting};
 use ryequay::{Settings, SettingsError};
 use serde::Deserialize;
@@ -83,7 +84,7 @@
     /// The address of the admin endpoint, if there is one.
     pub console: Option<SocketAddr>,
     pub seed: u64,
-    /// File descriptors that the process may hold.
+    /// File descriptors that the process may hold: as many as it is told, or fewer where the system says so.
     pub sockets: usize,
     /// Bytes of memory that the process may take.
     pub memory: usize,
@@ -145,13 +146,18 @@
             classes: settings.classes.iter().map(|c| c.name.clone()).collect(),
             tenants: settings.tenants.iter().map(|t| t.name.clone()).collect(),
         };
+        let sockets = file.limits.sockets;
+        let most = allowed().map_or(sockets, |most| most.max(LEAST_SOCKETS));
+        if most < sockets {
+            log::line(format!("the system lets this process hold {most} descriptors, not {sockets}"));
+        }
         Ok(Config {
             name: var("PROXY_NAME").unwrap_or(file.name),
             listen: address("PROXY_LISTEN", file.listen, false)?,
             discovery: address("PROXY_DISCOVERY", file.discovery, again)?,
             console: optional("PROXY_CONSOLE", file.console, false)?,
             seed,
-            sockets: file.limits.sockets,
+            sockets: sockets.min(most),
             memory: (file.limits.memory_mb * f64::from(1 << 20)) as usize,
             known: file.known,
             settings,
@@ -160,6 +166,14 @@
     }
 }
 
+/// The descriptors that the system lets this process hold, where it says so. Guards against clients that take what is kept
+/// for others, as more were promised than there are.
+fn allowed() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 /// The simulator's form of the settings: lists of objects by number, with their count; plain lists
 /// joined by commas.
 fn flatten(path: String, value: &Value, pairs: &mut Vec<(String, String)>) {
