--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -21,7 +21,7 @@
 const REFUSALS: usize = 8;
 /// Kept free for discovery, which must get through when all else is crowded: the watches that are followed at a time, and
 /// one that takes the place of another.
-const DISCOVERY: usize = 4;
+const DISCOVERY: usize = 5;
 /// Kept free for the admin endpoint, where there is one: whatever the load is, operators get through.
 const ADMIN: usize = 12;
 /// So much of what came last from a client is kept: a head as it came, as a rule.
