Listen once the process beside it has gone, also with nothing known

Seen: a new process that knows of no upstream, discovery down, waits for its first list before it listens, so that the old one keeps the clients; when the old one was killed meanwhile it went on waiting, for as long as discovery was down, and nobody listened. Cause: whether another process runs beside it was asked once, in main.rs. Change: it is asked each time.

--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -101,9 +101,10 @@
         }
     });
     let ready = async {
-        // Guards against taking clients from an old process before they can be served.
-        let beside = upgrade.succeed().await;
-        while beside && !driver.borrow().is_ready() {
+        upgrade.succeed().await;
+        // Guards against taking clients from an old process before they can be served. Once that has gone, nobody else
+        // listens.
+        while upgrade.is_beside() && !driver.borrow().is_ready() {
             sleep(LOOK).await;
         }
     };
--- a/src/bin/magpiechute/upgrade.rs
+++ b/src/bin/magpiechute/upgrade.rs
@@ -123,9 +123,9 @@
     }
 
     /// Takes over what a process before has left. If it still runs, this one has the descriptors that it can spare,
-    /// and is to listen only once it is ready; true in that case.
-    pub async fn succeed(self: &Rc<Self>) -> bool {
-        let Some(path) = self.path("sock") else { return false };
+    /// and is to listen only once it is ready.
+    pub async fn succeed(self: &Rc<Self>) {
+        let Some(path) = self.path("sock") else { return };
         let old = UnixStream::connect(path).await;
         if let Ok(old) = old {
             log::line("another process runs beside this one".into());
@@ -142,6 +142,10 @@
         if let Some(knowledge) = self.restore() {
             self.driver.borrow_mut().recall(knowledge);
         }
+    }
+
+    /// True while another process runs beside this one.
+    pub fn is_beside(&self) -> bool {
         self.other.borrow().is_some()
     }
 
