Let whole requests have the room of those that have half come

Seen: with all places taken by first requests that had half come less than 0.5 s ago, and the eight for refusals too, a whole request was shut unread. Cause, in server.rs: nothing was to make room (dearness), and whoever came in one turn was shut before anyone had read what the others had sent. Change: a first request that still comes is the last that makes room, the oldest first, and a connection without any room waits for 16 turns of the other tasks. Crowds that asked for health were right before. Seen to fail without either: the one test without the last kind, the other with one turn, at 29 connections of 64 descriptors.

--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -23,7 +23,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// Connections that the kernel takes for us while the loop is busy.
@@ -45,6 +45,9 @@
 const SILENT: Duration = Duration::from_millis(30);
 /// A request takes no longer than this to be written, as a rule.
 const HALF_SENT: Duration = Duration::from_millis(500);
+/// With no room at all, a new connection waits for so many turns of the other tasks: what those that came with it have sent
+/// may be unread only because they had none yet.
+const TURNS: usize = 16;
 /// Once clients are sent away, the front has noticed after this time, and what is idle is closed.
 const FRONT_NOTICES: Duration = Duration::from_millis(700);
 /// After SIGTERM what has come by then may still be open when the process is killed, and what comes later may not.
@@ -158,8 +161,8 @@
 
     /// How dear it is, if it may be closed to make room. Those that have waited long for a further request go first,
     /// then those that have never sent anything or only asked for health, those that don't finish their first
-    /// request, those that wait for a further one, and at last any on which nothing but calls for health has come;
-    /// among the same, the longest.
+    /// request, those that wait for a further one, then any on which nothing but calls for health has come, and at last
+    /// those whose first request still comes; among the same, the longest.
     fn dearness(&self) -> Option<(usize, Instant)> {
         let spare = !self.evicting.get() && !self.socket.is_blocked();
         let since = self.idle.get().filter(|_| spare)?;
@@ -172,6 +175,8 @@
             (false, None) if age >= HALF_SENT => 3,
             // Guards against shutting whoever comes with a request for the sake of those that come with nothing.
             (_, None) if !self.asked.get() => 4,
+            // Nor of those that come with half of one. The first on a connection may be shut.
+            (true, Some(_)) => 5,
             _ => return None,
         };
         Some((kind, since))
@@ -323,12 +328,22 @@
         // Guards against silent connections that keep all others waiting behind them: whoever comes is taken or
         // turned away at once.
         let mut permit = self.budget.take(Purpose::Client);
-        if permit.is_none() && self.make_room().await {
-            permit = self.budget.take(Purpose::Client);
+        let mut refused = false;
+        for _ in 0..TURNS {
+            if permit.is_some() {
+                break;
+            }
+            if self.make_room().await {
+                permit = self.budget.take(Purpose::Client);
+            }
+            refused = permit.is_none();
+            permit = permit.or_else(|| self.budget.take(Purpose::Refusal));
+            if permit.is_none() {
+                yield_now().await;
+            }
         }
-        let refused = permit.is_none();
         // With no room even for a refusal, closing is all that is left.
-        let Some(permit) = permit.or_else(|| self.budget.take(Purpose::Refusal)) else { return };
+        let Some(permit) = permit else { return };
         let number = self.accepted.get();
         self.accepted.set(number + 1);
         let client = Client::new(Socket::of_client(stream, permit));
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -4,6 +4,7 @@
 mod peers;
 use peers::*;
 use std::collections::VecDeque;
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -128,6 +129,23 @@
     assert_eq!(late.receive().unwrap().map(|answer| answer.status()), Some(200));
 }
 
+/// The same where all come in one turn, wherever the request stands in the row.
+#[test]
+fn a_whole_request_has_room_behind_any_number_of_half_ones() {
+    let _alone = alone();
+    for count in 18..36 {
+        let upstream = Upstream::start(Reply::Ok);
+        let (program, _discovery) = Program::with_sockets(&[upstream.address], 64);
+        program.hold();
+        let mut crowd = idle(program.address, count);
+        crowd
+            .iter_mut()
+            .for_each(|client| client.write_all(b"GET /read HTTP/1.1\r\nHost: b\r\nRequ").unwrap());
+        let answer = ask_at_once(&program, "/read").receive().unwrap_or_default();
+        assert_eq!(answer.map(|answer| answer.status()), Some(200), "{count}");
+    }
+}
+
 /// Sends a request on a new connection, with all of it there before the program takes the connection.
 fn ask_at_once(program: &Program, path: &str) -> Client {
     program.hold();
@@ -137,6 +155,26 @@
     client
 }
 
+/// Guards against whole requests that are shut for the sake of those that have half come, and against a crowd that asks for
+/// health and stays.
+#[test]
+fn a_whole_request_goes_before_half_ones_and_before_those_that_asked_for_health() {
+    let _alone = alone();
+    for sockets in LIMITS {
+        let upstream = Upstream::start(Reply::Ok);
+        let (program, _discovery) = Program::with_sockets(&[upstream.address], sockets);
+        for text in ["GET /read HTTP/1.1\r\nHost: b\r\nRequ", "GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n"] {
+            let mut crowd = idle(program.address, sockets * 2 / 3);
+            // Those that are shut already hear nothing of it.
+            crowd.iter_mut().for_each(|client| drop(client.write_all(text.as_bytes())));
+            for _ in 0..4 {
+                let answer = ask_at_once(&program, "/read").receive().unwrap_or_default();
+                assert_eq!(answer.map(|answer| answer.status()), Some(200), "{sockets} {text}");
+            }
+        }
+    }
+}
+
 /// Guards against a watch that finds no descriptor once discovery is back, an operator who finds nobody, and proper
 /// requests that are not served then. Nothing is known of upstreams, or only old news of one that is gone.
 #[test]
