Count calls for slow start only as far as answers keep up with them

Cause: slow_start in src/balance.rs entitles a cold upstream to its share of the calls that come, not of what a warm one takes. Where calls, the repeats of refused ones among them, are several times what all can do, so is its part, and with some calls a balancer in each window no answer from it can teach one balancer better.

Change: answers of the subset show what it takes. Each lets so many calls count in full that a cold upstream comes to half of what rules.fallMultiple allows it, normalised by how warm those that answer are; beyond that a call counts for a tenth, so that a fleet of only cold upstreams gets going.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -42,6 +42,9 @@
 /// An outlier is ejected for this many usual latencies, doubled by each failure up to `MOST_FAILURES`.
 const EJECTION_TIME: f64 = 4.0;
 const MOST_FAILURES: i32 = 4;
+/// Part of a call that slow start counts where answers do not keep up with calls. Guards against standing
+/// still where all upstreams are cold and none has answered yet.
+const UNANSWERED: f64 = 0.1;
 /// An upstream whose share of errors in a class is by so much larger than that of its peers fails by itself.
 const OUTLIER: f64 = 0.3;
 /// An upstream is believed to serve until seen otherwise, as if it had answered so many calls.
@@ -335,7 +338,7 @@
     /// The upstream in turn of those that may take part; calls ahead of it there count as turns.
     fn first_due(&self, ahead: impl Fn(&Upstream) -> Option<f64>) -> Option<UpstreamId> {
         let due = |u: &Upstream| Some(u.due.max(self.turns.turn) + self.pace(u) * ahead(u)?);
-        let within = self.turns.order[..self.turns.subset as usize].iter().map(|id| &self.upstreams[id]);
+        let within = self.turns.split().0.iter().map(|id| &self.upstreams[id]);
         Some(within.filter_map(|u| Some((due(u)?, u.entry.id))).min_by(|a, b| a.0.total_cmp(&b.0))?.1)
     }
 
@@ -374,13 +377,13 @@
     /// None is saved up outside, lest many callers whose subset widens together spend it at once; but for
     /// one that operators have put back, for which each call counts as one over the whole list.
     fn slow_start(&mut self) {
-        let (within, beyond) = self.turns.order.split_at(self.turns.subset as usize);
+        let counted = self.turns.count(UNANSWERED);
+        let (within, beyond) = self.turns.split();
         let back =
             beyond.iter().filter(|id| self.back.contains(id)).map(|id| (id, self.turns.order.len() as f64));
         for (id, among) in within.iter().map(|id| (id, self.turns.subset)).chain(back) {
             let u = self.upstreams.get_mut(id).expect("listed");
-            let share = u.warm_share(&self.cfg.rules, self.now);
-            u.learned.allowance = (u.learned.allowance + share / among).min(1.0);
+            u.allow(counted * u.warm_share(&self.cfg.rules, self.now) / among);
         }
     }
 
@@ -409,7 +412,7 @@
     /// Guards against leaving out one upstream after the other where calls are lost on the way to any of
     /// them: a single loss there says nothing of the upstream. Could hurt where all but one hang in turn.
     fn loses_as_others(&self, u: &Upstream) -> bool {
-        let within = self.turns.order[..self.turns.subset as usize].iter().filter(|id| **id != u.entry.id);
+        let within = self.turns.split().0.iter().filter(|id| **id != u.entry.id);
         let shares = within.map(|id| self.upstreams[id].learned.losses);
         let (sum, peers) = shares.fold((0.0, 0.0), |(sum, peers), share| (sum + share, peers + 1.0));
         sum > 0.0 && u.learned.losses <= 2.0 * sum / peers
@@ -662,6 +665,9 @@
         }
         u.width = u.width.max(0.5 / self.turns.slice);
         u.full_until = u.full_until.max(self.now + end.elapsed * (1.0 / self.turns.pass - 1.0));
+        if answer && end.outcome != Rejected {
+            self.turns.gain_headroom(&self.upstreams, &self.cfg.rules, self.now);
+        }
         if (answer || lost) && !stale {
             self.detect_outlier(upstream, &flight, end, lost, actions);
         }
@@ -690,7 +696,7 @@
         // errors in a row by chance cost an ejection. Turning a class away counts as much: the call can go
         // elsewhere, but it has held a slot until it came back.
         let fault = matches!(outcome, Outcome::Error | Outcome::Rejected);
-        let within = self.turns.order[..self.turns.subset as usize].iter().filter(|id| **id != upstream);
+        let within = self.turns.split().0.iter().filter(|id| **id != upstream);
         let peers: Vec<_> = within.map(|id| &self.upstreams[id].learned.health).collect();
         // Without peers there is nothing to compare with.
         let usual_faults = |scope: usize| {
@@ -775,7 +781,7 @@
         loop {
             let u = &self.upstreams[&upstream];
             let longest = |a: &&UpstreamId| (self.upstreams[a].queue.len(), std::cmp::Reverse(**a));
-            let other = || self.turns.order[..self.turns.subset as usize].iter().max_by_key(longest);
+            let other = || self.turns.split().0.iter().max_by_key(longest);
             let from = Some(&upstream).filter(|_| !u.queue.is_empty()).or_else(other).unwrap_or(&upstream);
             let queue = self.upstreams[from].queue.iter().rev().copied();
             let Some(id) = queue.max_by(|a, b| self.value(*a).total_cmp(&self.value(*b))) else { return };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -137,6 +137,8 @@
     pub start_capacity: f64,
     /// It is warm after this time.
     pub cold: f64,
+    /// It falls over when it gets more than this multiple of what it can do by then.
+    pub fall_multiple: f64,
 }
 
 impl Rules {
@@ -226,7 +228,13 @@
                 open: 20_000,
                 retry_after: None,
             },
-            rules: Rules { ask_within: 10.0, told: f64::INFINITY, start_capacity: 0.2, cold: 10.0 },
+            rules: Rules {
+                ask_within: 10.0,
+                told: f64::INFINITY,
+                start_capacity: 0.2,
+                cold: 10.0,
+                fall_multiple: 3.0,
+            },
             prices: Prices::default(),
         }
     }
@@ -270,6 +278,7 @@
         number("limits retry after", self.limits.retry_after.unwrap_or(0.0), 0.0)?;
         number("rules ask within", self.rules.ask_within, f64::MIN_POSITIVE)?;
         number("rules cold", self.rules.cold, 0.0)?;
+        number("rules fall multiple", self.rules.fall_multiple, f64::MIN_POSITIVE)?;
         number("rules start capacity", self.rules.start_capacity, f64::MIN_POSITIVE)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
+/// Calls beyond those in flight that may come without answers before slow start minds.
+const FEW_ANSWERS: f64 = 3.0;
+
 /// The turn over the upstreams of the subset.
 #[derive(Default)]
 pub(crate) struct Turns {
@@ -26,6 +29,39 @@
     pub(crate) turn: f64,
     /// Latency at each machine kind, over the usual.
     pub(crate) paces: BTreeMap<usize, f64>,
+    /// Calls that slow start counts in full before more answers come.
+    pub(crate) headroom: f64,
+}
+
+impl Turns {
+    /// The upstreams turned over, and those that are not.
+    pub(crate) fn split(&self) -> (&[UpstreamId], &[UpstreamId]) {
+        self.order.split_at(self.subset as usize)
+    }
+
+    /// One more answer. Guards against a cold upstream that has its share of all that comes, also where that is
+    /// far more than a warm one takes, as when clients come again. Answers show what the subset takes: for each,
+    /// so many calls count in full that a cold one gets half of what the rules allow it.
+    pub(crate) fn gain_headroom(
+        &mut self,
+        upstreams: &BTreeMap<UpstreamId, Upstream>,
+        rules: &Rules,
+        now: f64,
+    ) {
+        let within = self.split().0.iter().map(|id| &upstreams[id]);
+        let (all, warm, busy) = within.fold((0.0, f64::MIN_POSITIVE, 0.0), |(all, warm, busy), u| {
+            (all + 1.0, warm + u.warm_share(rules, now), busy + u.flights.len() as f64)
+        });
+        let more = rules.fall_multiple / 2.0 * all / warm;
+        self.headroom = (self.headroom + more).min(FEW_ANSWERS + busy);
+    }
+
+    /// The part of one more call that slow start counts, `least` of it in any case.
+    pub(crate) fn count(&mut self, least: f64) -> f64 {
+        let counted = self.headroom.clamp(least, 1.0);
+        self.headroom = (self.headroom - 1.0).max(0.0);
+        counted
+    }
 }
 
 /// What a balancer has learned, for the one that takes its place. Nothing in it has to hold: whoever recalls it
@@ -251,6 +287,11 @@
         self.entry.state == UpstreamState::On && !self.out
     }
 
+    /// Slow start lets it have a further part of a turn.
+    pub(crate) fn allow(&mut self, part: f64) {
+        self.learned.allowance = (self.learned.allowance + part).min(1.0);
+    }
+
     /// The share of its work that it can do at the least by now.
     pub(crate) fn warm_share(&self, rules: &Rules, now: f64) -> f64 {
         rules.warm_share(self.entry.since.max(self.returned), now)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -242,6 +242,7 @@
             told: r.told,
             start_capacity: num("rules.startCapacity", r.start_capacity)?,
             cold: num("rules.cold", r.cold)?,
+            fall_multiple: num("rules.fallMultiple", r.fall_multiple)?,
         },
         prices: Prices { cross_zone: num("costs.crossZone", 0.0)? },
     })
