Write no repeat whose window has ended while its connection came up

Cause: a class whose repeats are dropped for a short time may be repeated inside that time only. The module looked at it when it decided (may_send in balance.rs), and the attempt was written whenever its connection was up (Attempt::run in upstream.rs), up to the connect time later: then its upstream takes it for a new request. Found by reading; ruled out were the queue (may_send is asked again when a held call is woken) and the first attempt's own delay (its window is reckoned from the decision, which is earlier than its last byte).

Change: Action::Send says within which time the last byte has to be written, for repeats of keyed classes only. The network ends an attempt that is not whole by then as not sent.

Beside it, tests/answers.rs: answers without a length that are reset, and all forms of answers byte by byte; no fault was found in these.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -446,7 +446,7 @@
                     DedupScope::Zone => first.to.zone == u.entry.zone,
                     DedupScope::Cell => first.to.cell == u.entry.cell,
                 };
-                in_group && self.now + self.cfg.tick < first.sent + class.dedup_window
+                in_group && call.window_left(class, self.now).is_some_and(|left| left > self.cfg.tick)
             }
         }
     }
@@ -462,14 +462,14 @@
         self.back.retain(|back| *back != upstream);
         u.learned.credit = (u.learned.credit - 1.0).max(0.0);
         call.held_at = None;
+        let within = call.window_left(&self.cfg.classes[call.class], sent);
         call.tries.push(Try { to: u.entry.clone(), sent, outcome: None });
-        let whole = if call.streamed { f64::INFINITY } else { sent };
-        u.flights.push(Flight { id, class: call.class, sent, whole, usual, idle });
+        let (class, whole) = (call.class, if call.streamed { f64::INFINITY } else { sent });
+        u.flights.push(Flight { id, class, sent, whole, usual, idle });
         self.turns.turn = self.turns.turn.max(u.due);
         u.due = self.turns.turn + pace;
-        actions.push(Action::Send { id, upstream, timeout: None });
-        let repeatable = self.cfg.classes[call.class].effect != Effect::Unsafe;
-        if repeatable && self.now + SILENCE * usual < call.deadline {
+        actions.push(Action::Send { id, upstream, timeout: None, within });
+        if self.cfg.classes[class].effect != Effect::Unsafe && sent + SILENCE * usual < call.deadline {
             self.wake_me(id, SILENCE * usual, actions);
         }
     }
--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -535,7 +535,7 @@
 
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Send { id, upstream, timeout } => self.send(id, upstream, timeout),
+            Action::Send { id, upstream, timeout, within } => self.send(id, upstream, timeout, within),
             Action::Refuse { id, retry_after } => self.answer(id, Final::Refused { retry_after }),
             Action::Fail { id } => self.answer(id, Final::Failed),
             Action::Cancel { id, attempt } => {
@@ -556,8 +556,9 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, upstream: UpstreamId, timeout: Option<f64>) {
+    fn send(&mut self, id: RequestId, upstream: UpstreamId, timeout: Option<f64>, within: Option<f64>) {
         let sent = Instant::now();
+        let after = |seconds| sent.checked_add(Duration::try_from_secs_f64(seconds).unwrap_or_default());
         let address = self.address(upstream);
         let Some(open) = self.open.get_mut(&id) else { return };
         let number = open.attempts.len();
@@ -571,7 +572,8 @@
             upstream,
             address,
             request: open.forward.clone(),
-            until: timeout.and_then(|t| sent.checked_add(Duration::try_from_secs_f64(t).unwrap_or_default())),
+            until: timeout.and_then(after),
+            whole_by: within.and_then(after),
             margin: MARGIN,
             begun,
         });
--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -13,6 +13,7 @@
 use ryequay::{Outcome, UpstreamId};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -214,6 +215,8 @@
     pub address: SocketAddr,
     pub request: Rc<Forward>,
     pub until: Option<Instant>,
+    /// Its last byte must be written by then, or never.
+    pub whole_by: Option<Instant>,
     /// What is held back of a deadline, so that its client hears in time.
     pub margin: Duration,
     /// Set when the first byte is about to be written: for how long the connection had been idle.
@@ -244,6 +247,18 @@
         }
     }
 
+    /// Ends when it may not be written any more and has not been. Guards against a repeat on a connection that came up
+    /// late, or that takes bytes slowly, when upstreams no more know it for one.
+    async fn too_late(&self, handed_over: impl Fn() -> bool) {
+        let Some(by) = self.whole_by else { return pending().await };
+        while by > Instant::now() {
+            sleep_until(by).await;
+        }
+        if handed_over() {
+            pending().await
+        }
+    }
+
     /// Runs it to its end. "Never ran" is said only where the last byte can't have been handed over.
     pub async fn run(self) -> Ended {
         loop {
@@ -254,6 +269,7 @@
                 None => {
                     let socket = tokio::select! {
                         biased;
+                        () = self.too_late(|| false) => return Err(Outcome::NotSent),
                         socket = self.pool.connect(self.address) => socket?,
                         () = self.expired() => return Err(Outcome::ConnectFailed),
                     };
@@ -264,12 +280,14 @@
             self.begun.set(Some(idle));
             // How many bytes the request has, once that is known.
             let whole = Rc::new(Cell::new(usize::MAX));
+            let handed_over = || socket.written() - written >= whole.get();
             let ended = tokio::select! {
                 biased;
+                () = self.too_late(handed_over) => return Err(Outcome::NotSent),
                 ended = self.exchange(&socket, whole.clone()) => Some(ended),
                 () = self.expired() => None,
             };
-            let handed_over = socket.written() - written >= whole.get();
+            let handed_over = handed_over();
             return match ended {
                 Some(Ok((answer, reusable))) if handed_over => {
                     if reusable {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -418,6 +418,8 @@
         upstream: UpstreamId,
         /// Time-out; `None`: until the client gives up.
         timeout: Option<f64>,
+        /// Its last byte has to be written within this time, or it must not go; `None`: it may take longer.
+        within: Option<f64>,
     },
     /// Final answer: declined, trying again does no harm.
     Refuse {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a balancer keeps in mind: types and plain bookkeeping, no decisions.
 
-use crate::interface::{Outcome, RequestId, Rules, UpstreamEntry, UpstreamId, UpstreamState};
+use crate::interface::{Class, Effect, Outcome, RequestId, Rules, UpstreamEntry, UpstreamId, UpstreamState};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -200,6 +200,11 @@
     pub(crate) fn first_run(&self) -> Option<&Try> {
         self.tries.iter().find(|t| !t.outcome.is_some_and(Outcome::never_ran))
     }
+    /// What is left of the time in which repeats are dropped, where one might run twice.
+    pub(crate) fn window_left(&self, class: &Class, now: f64) -> Option<f64> {
+        let first = self.first_run().filter(|_| matches!(class.effect, Effect::Keyed { .. }))?;
+        Some(first.sent + class.dedup_window - now)
+    }
 }
 
 impl Upstream {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -276,7 +276,7 @@
 fn format(action: &Action, names: &Names, out: &mut Vec<u8>) -> io::Result<()> {
     let name = |id: &UpstreamId| names.0.get(id).map(String::as_str).unwrap_or("?");
     match action {
-        Action::Send { id, upstream, timeout } => {
+        Action::Send { id, upstream, timeout, .. } => {
             write!(out, "SUBMIT_TO\trid={}\tupstream={}", id.0, name(upstream))?;
             match timeout {
                 Some(t) => writeln!(out, "\ttimeout={t:.6}"),
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,76 @@
+//! Answers of upstreams that come in pieces, in all forms, or not to their end.
+
+mod peers;
+use peers::*;
+use socket2::SockRef;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::{sleep, spawn};
+use std::time::Duration;
+
+const ID: &str = "Request-Id: {id}\r\n";
+
+/// An upstream that gives each connection's first request to this.
+fn upstream(answer: impl Fn(&mut TcpStream) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            stream.set_nodelay(true).unwrap();
+            let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap()));
+            assert!(request.unwrap().is_some());
+            answer(&mut stream);
+        }
+    });
+    address
+}
+
+/// Guards against taking a reset for the end of an answer that has no length and so ends with its connection: also
+/// where nothing of it has come, all that there is, or a part that is being passed on already.
+#[test]
+fn an_answer_without_a_length_that_is_reset_is_not_whole() {
+    for (count, pause) in [(0, 0), (5, 0), (5, 900), (60_000, 0), (300_000, 0), (300_000, 200)] {
+        let address = upstream(move |stream| {
+            let body = "x".repeat(count);
+            let head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+            stream.write_all(format!("{head}{body}").as_bytes()).unwrap();
+            sleep(Duration::from_millis(pause));
+            SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap();
+        });
+        let (program, _discovery) = Program::with_console(&[address]);
+        let mut client = program.client();
+        client.send("/pay", &format!("{ID}Connection: close\r\n"), "coins").unwrap();
+        let text = String::from_utf8(client.rest()).unwrap();
+        // Either it is told to have failed, or what it gets has no end.
+        let (failed, cut) = (text.starts_with("HTTP/1.1 502 "), !text.ends_with("0\r\n\r\n"));
+        let chunked = text.to_lowercase().contains("transfer-encoding: chunked");
+        assert!(failed || chunked && cut, "{count} {pause}: {text:.99}");
+        assert_eq!((program.figure("failed.pay"), program.figure("served.pay")), (1, 0), "{count} {pause}");
+    }
+}
+
+/// Guards against a form that HTTP/1.1 allows and that is taken for spoilt, or cut in the wrong place, when it comes
+/// byte by byte.
+#[test]
+fn answers_are_read_in_all_forms_byte_by_byte() {
+    let forms = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ncoins",
+        "HTTP/1.1 200\r\ncONTENT-lENGTH:\t 5 \t\r\nNews:\r\nServer-Load: TEXT inflight=7\r\n\r\ncoins",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\nHTTP/1.1 200 Fine, thanks\r\nContent-Length: 005\r\n\r\ncoins",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ncoins\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTRANSFER-ENCODING:Chunked\r\nTrailer: Sum\r\n\r\n0002;a=\"b;c\" ; d\r\nco\r\n3 ;e\r\nins\r\n00\r\nSum: 1\r\nMore: 2\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\ncoins",
+        "HTTP/1.1 200 OK\r\nConnection: keep-alive, close\r\nContent-Length: 5\r\n\r\ncoins",
+    ];
+    for form in forms {
+        let address = upstream(move |stream| {
+            for byte in form.bytes() {
+                stream.write_all(&[byte]).unwrap();
+                sleep(Duration::from_micros(300));
+            }
+        });
+        let (program, _discovery) = Program::with(&[address]);
+        let answer = program.client().ask("/pay", ID, "coins");
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"coins"[..]), "{form}");
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -567,6 +567,11 @@
         move |text| out.write_all(text.as_bytes())
     }
 
+    /// Waits until an answer has begun to come.
+    pub fn begins(&mut self) {
+        assert!(!self.input.fill_buf().unwrap().is_empty());
+    }
+
     /// What is left until the connection ends.
     pub fn rest(&mut self) -> Vec<u8> {
         let mut rest = Vec::new();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -79,6 +79,26 @@
     }
 }
 
+/// Guards against a repeat that goes out inside the window and gets there after it.
+#[test]
+fn a_keyed_repeat_is_told_how_long_it_may_take_to_be_written() {
+    let within = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Send { within, .. } => Some(*within),
+            _ => None,
+        })
+    };
+    for (effect, limited) in KEYED.map(|keyed| (keyed, true)).into_iter().chain([(Effect::Safe, false)]) {
+        let mut rig = Rig::with_classes(&[effect], 8);
+        assert_eq!(within(&rig.on(request(1, 0, 5.0))), Some(None));
+        rig.now += 0.25;
+        assert_eq!(within(&rig.on(end(1, 0, Outcome::Reset))), Some(limited.then_some(0.75)), "{effect:?}");
+        // One that never ran may come as late as it likes.
+        assert_eq!(within(&rig.on(request(2, 0, 5.0))), Some(None));
+        assert_eq!(within(&rig.on(end(2, 0, Outcome::Rejected))), Some(None));
+    }
+}
+
 #[test]
 fn a_second_copy_goes_out_only_where_allowed() {
     for duplicates in [true, false] {
