Count a request's time from when its bytes were read, also behind others on its connection

Cause: Upload::read in bodies.rs took the moment at which it ended for the moment of a request's last byte. A request that came together with others on one connection is looked at only once those ahead have their answers, so that its deadline lay later by all of their time: its answer came too late, and its upstream was told more than was left. Found by reading for what a further or a later attempt tells; ruled out by the first test, which passed before: attempts after one that was turned away, and after a hold.

Change: the socket knows when bytes were last taken from the kernel, and that is when the request had come. What waits in the kernel still counts from when it is read.

Test: repeats.rs, three requests written at once, of which the first takes half a second; without the mend the second is told 5.0 s and not 4.5 s.

--- a/src/bin/magpiechute/bodies.rs
+++ b/src/bin/magpiechute/bodies.rs
@@ -152,6 +152,11 @@
         self.moved.get()
     }
 
+    /// Its client had sent all that has come by then.
+    pub fn moved_at(&self, moved: Instant) {
+        self.moved.set(moved);
+    }
+
     /// A part of it has yet to come.
     pub fn is_streamed(&self) -> bool {
         self.rest.borrow().is_some()
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -587,6 +587,8 @@
             };
             Bad(status, broken.to_string())
         })?;
+        // Guards against a client that sends several requests at once and waits for the later ones from then on.
+        upload.moved_at(client.socket.last_read());
         if head.method == Method::GET && upload.length() != Some(0) {
             return Err(bad("GET has no body"));
         }
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -133,6 +133,7 @@
 struct Inner {
     stream: TcpStream,
     read: Cell<usize>,
+    last_read: Cell<Instant>,
     /// Bytes that may be read in all; more breaks the connection.
     most_read: Cell<usize>,
     written: Cell<usize>,
@@ -176,11 +177,12 @@
         let (read, most_read) = (Cell::new(0), Cell::new(usize::MAX));
         let (written, wants_quiet) = (Cell::new(0), Cell::new(false));
         let (asking, blocked, ahead, cut) = Default::default();
-        let (last_written, recent, whole) =
-            (Cell::new(Instant::now()), RefCell::default(), RefCell::default());
+        let (last_read, last_written) = (Cell::new(Instant::now()), Cell::new(Instant::now()));
+        let (recent, whole) = Default::default();
         Socket(Rc::new(Inner {
             stream,
             read,
+            last_read,
             most_read,
             written,
             last_written,
@@ -217,6 +219,11 @@
         self.0.written.get()
     }
 
+    /// When bytes were last taken from the kernel.
+    pub fn last_read(&self) -> Instant {
+        self.0.last_read.get()
+    }
+
     /// A new exchange begins: nothing may have come before its first byte is written, and so many bytes may come
     /// until more is allowed.
     pub fn begin(&self, most_read: usize) {
@@ -285,6 +292,7 @@
             match self.0.stream.try_read(&mut bytes) {
                 Ok(0) => return true,
                 Ok(count) => {
+                    self.0.last_read.set(Instant::now());
                     let mut ahead = self.0.ahead.borrow_mut();
                     let room = AHEAD.saturating_sub(ahead.len());
                     ahead.extend(&bytes[..count.min(room)]);
@@ -345,7 +353,10 @@
                     ready!(self.0.stream.poll_read_ready(cx))?;
                     match self.0.stream.try_read(&mut bytes[..most]) {
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
-                        read => read?,
+                        read => {
+                            self.0.last_read.set(Instant::now());
+                            read?
+                        }
                     }
                 }
             };
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -35,3 +35,62 @@
         assert!(late.seen.try_recv().is_err(), "{scope}");
     }
 }
+
+/// What the next request at this upstream was told to have left.
+fn told(upstream: &Upstream) -> f64 {
+    upstream.next().header("request-timeout").unwrap().parse().unwrap()
+}
+
+/// Guards against an attempt that tells its upstream the time that its client had at first: what an earlier attempt, a
+/// hold, or a request ahead on the same connection has taken is not left.
+#[test]
+fn an_attempt_tells_its_upstream_no_more_than_what_is_left_to_the_client() {
+    let half = Duration::from_millis(500);
+    let headers = "Request-Id: {id}\r\nRequest-Timeout: 5.0\r\n";
+    let (one, two) = (Upstream::start(Reply::Hold), Upstream::start(Reply::Hold));
+    let (program, _discovery) = Program::with_console(&[one.address, two.address]);
+    let mut clients: Vec<_> = (0..12).map(|_| program.client()).collect();
+    for client in &mut clients {
+        client.send("/pay", headers, "coins").unwrap();
+    }
+    while program.figure("in_flight") < 12 {}
+    sleep(half);
+    // Some go on to the other one, and those that are held come after them.
+    let early = one.seen.try_iter().count() + two.seen.try_iter().count();
+    assert!((2..12).contains(&early), "some are held");
+    one.set(Reply::NotStarted);
+    two.set(Reply::Ok);
+    one.release();
+    two.release();
+    for client in &mut clients {
+        assert!(client.receive().unwrap().is_some());
+    }
+    // All that were held, and most of what the first one turned away.
+    let late: Vec<_> = one.seen.try_iter().chain(two.seen.try_iter()).collect();
+    assert!(late.len() > 12 - early, "{}", late.len());
+    for request in late {
+        assert!(request.header("request-timeout").unwrap().parse::<f64>().unwrap() <= 4.5);
+    }
+}
+
+/// Guards against the same where requests come at once on one connection, and the later ones wait for the first.
+#[test]
+fn requests_that_come_at_once_on_one_connection_wait_from_then_on() {
+    let upstream = Upstream::start(Reply::Hold);
+    let (program, _discovery) = Program::with(&[upstream.address]);
+    let mut client = program.client();
+    let request = |id: &str| {
+        format!(
+            "POST /pay HTTP/1.1\r\nRequest-Id: {id}\r\nRequest-Timeout: 5.0\r\nContent-Length: 1\r\n\r\nx"
+        )
+    };
+    client.write(&[request("c201"), request("c202"), request("c203")].concat());
+    upstream.next();
+    sleep(Duration::from_millis(500));
+    upstream.release();
+    assert!(told(&upstream) <= 4.5);
+    assert!(told(&upstream) <= 4.5);
+    for _ in 0..3 {
+        assert_eq!(client.receive().unwrap().expect("an answer").status(), 200);
+    }
+}
