Keep what comes at once on one connection, up to half a megabyte, for the requests in it

Cause: while a request waits, left() in server.rs reads ahead of its connection to see its client's end behind what was sent (ends_behind in socket.rs), keeps 16 KiB of that and drops the rest with all that follows. A client that sends many requests at once lost those behind the first 16 KiB: their connection ended after the eighth of sixty with 3 kB each. And what came after a drop was kept again once a part of the kept bytes had been read, so that a request could have gone on with another's bytes.

Change: up to 512 KiB of one connection are kept while all connections together hold less than 2 MiB, else 16 KiB as before; after a drop nothing more is kept.

Test: closes.rs, sixty requests at once have an answer each, in their order; without the mend the ninth has none.

--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -27,8 +27,11 @@
 const CONSOLE: usize = 12;
 /// So much of what came last from a client is kept: a head as it came, as a rule.
 const RECENT: usize = 8 << 10;
-/// So much is read ahead of one connection: clients send one request at a time,
-const AHEAD: usize = 16 << 10;
+/// So much is read ahead of one connection: clients may send many requests at once,
+const AHEAD: usize = 512 << 10;
+/// but only this much where all connections together hold more than the other: others send what nobody is to read.
+const LITTLE_AHEAD: usize = 16 << 10;
+const MOST_AHEAD: usize = 2 << 20;
 /// and so many pieces of it at a time, so that others have their turn.
 const MOST_PIECES: usize = 64;
 /// This part of what is left is for upstreams alone.
@@ -58,13 +61,16 @@
     most: Cell<usize>,
     most_clients: Cell<usize>,
     most_console: usize,
+    /// Bytes that were read ahead of all connections.
+    ahead: Cell<usize>,
 }
 
 impl Budget {
     pub fn new(descriptors: usize, console: bool) -> Rc<Self> {
-        let (clients, others, console_open, most, most_clients) = Default::default();
+        let (clients, others, console_open, most, most_clients, ahead) = Default::default();
         let most_console = if console { CONSOLE } else { 0 };
-        let budget = Budget { clients, others, console: console_open, most, most_clients, most_console };
+        let budget =
+            Budget { clients, others, console: console_open, most, most_clients, most_console, ahead };
         budget.limit(descriptors);
         Rc::new(budget)
     }
@@ -152,7 +158,14 @@
     whole: RefCell<Option<(usize, Rc<Stats>)>>,
     /// It has to be quiet when its next byte is written.
     wants_quiet: Cell<bool>,
-    _permit: Permit,
+    permit: Permit,
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        let all = &self.permit.budget.ahead;
+        all.set(all.get() - self.ahead.borrow().len());
+    }
 }
 
 impl Socket {
@@ -194,7 +207,7 @@
             cut,
             whole,
             wants_quiet,
-            _permit: permit,
+            permit,
         }))
     }
 
@@ -294,8 +307,11 @@
                 Ok(count) => {
                     self.0.last_read.set(Instant::now());
                     let mut ahead = self.0.ahead.borrow_mut();
-                    let room = AHEAD.saturating_sub(ahead.len());
+                    let all = &self.0.permit.budget.ahead;
+                    let most = if all.get() < MOST_AHEAD { AHEAD } else { LITTLE_AHEAD };
+                    let room = most.saturating_sub(ahead.len()) * usize::from(!self.0.cut.get());
                     ahead.extend(&bytes[..count.min(room)]);
+                    all.set(all.get() + count.min(room));
                     self.0.cut.set(self.0.cut.get() || count > room);
                 }
                 Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
@@ -383,6 +399,8 @@
             return self.0.cut.get().then_some(0);
         }
         let count = ahead.len().min(bytes.len());
+        let all = &self.0.permit.budget.ahead;
+        all.set(all.get() - count);
         ahead.drain(..count).zip(bytes).for_each(|(from, to)| *to = from);
         Some(count)
     }
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -58,3 +58,22 @@
     busy.iter_mut().for_each(|client| client.send("/pay", ID, "coins").unwrap());
     assert_eq!(program.client().ask("/pay", ID, &body).status(), 503);
 }
+
+/// Guards against requests that are dropped because too many came at once on one connection.
+#[test]
+fn many_requests_at_once_on_one_connection_have_an_answer_each() {
+    let upstream = Upstream::start(Reply::Hold);
+    let (program, _discovery) = Program::with(&[upstream.address]);
+    let mut client = program.client();
+    let news = "x".repeat(3000);
+    let requests =
+        (0..60).map(|n| format!("GET /read/{n} HTTP/1.1\r\nRequest-Id: d{n}\r\nNews: {news}\r\n\r\n"));
+    client.write(&requests.collect::<String>());
+    upstream.next();
+    sleep(Duration::from_millis(300));
+    upstream.release();
+    for n in 0..60 {
+        let answer = client.receive().unwrap().unwrap_or_else(|| panic!("an answer to {n}"));
+        assert!(String::from_utf8_lossy(&answer.body).starts_with(&format!("GET /read/{n} ")), "{answer:?}");
+    }
+}
