--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -77,3 +77,17 @@
         assert!(String::from_utf8_lossy(&answer.body).starts_with(&format!("GET /read/{n} ")), "{answer:?}");
     }
 }
+
+/// Guards against clients that send much at once, and nothing that anybody is to read, until there is no memory.
+#[test]
+fn what_comes_behind_requests_that_wait_takes_little_memory() {
+    let upstream = Upstream::start(Reply::Silent);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let mut clients: Vec<_> = (0..60).map(|_| program.client()).collect();
+    let flood = "x".repeat(4 << 20);
+    for client in &mut clients {
+        client.send("/pay", ID, "coins").unwrap();
+        client.write(&flood);
+    }
+    assert!(program.memory() < 40 << 20, "{}", program.memory());
+}
