--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -23,8 +23,8 @@
 const REFUSALS: usize = 8;
 /// Kept free for discovery, which must get through when all else is crowded.
 const DISCOVERY: usize = 4;
-/// Kept free for the operators' calls, where there is a console: whatever the load is, they get through.
-const CONSOLE: usize = 12;
+/// Kept free for the admin endpoint, where there is one: whatever the load is, operators get through.
+const ADMIN: usize = 12;
 /// So much of what came last from a client is kept: a head as it came, as a rule.
 const RECENT: usize = 8 << 10;
 /// So much is read ahead of one connection: clients may send many requests at once,
@@ -45,8 +45,8 @@
     /// A client that is only to be told that there is no room.
     Refusal,
     Discovery,
-    /// An operator's call.
-    Console,
+    /// A call at the admin endpoint.
+    Admin,
 }
 
 /// Counts the open sockets against the most that the process may hold.
@@ -57,34 +57,33 @@
 pub struct Budget {
     clients: Cell<usize>,
     others: Cell<usize>,
-    console: Cell<usize>,
+    admin: Cell<usize>,
     most: Cell<usize>,
     most_clients: Cell<usize>,
-    most_console: usize,
+    most_admin: usize,
     /// Bytes that were read ahead of all connections.
     ahead: Cell<usize>,
 }
 
 impl Budget {
-    pub fn new(descriptors: usize, console: bool) -> Rc<Self> {
-        let (clients, others, console_open, most, most_clients, ahead) = Default::default();
-        let most_console = if console { CONSOLE } else { 0 };
-        let budget =
-            Budget { clients, others, console: console_open, most, most_clients, most_console, ahead };
+    pub fn new(descriptors: usize, admin: bool) -> Rc<Self> {
+        let (clients, others, admin_open, most, most_clients, ahead) = Default::default();
+        let most_admin = if admin { ADMIN } else { 0 };
+        let budget = Budget { clients, others, admin: admin_open, most, most_clients, most_admin, ahead };
         budget.limit(descriptors);
         Rc::new(budget)
     }
 
     /// From now on the process may hold so many descriptors; what is open beyond that stays open.
     pub fn limit(&self, descriptors: usize) {
-        self.most.set(descriptors.saturating_sub(OTHER_FILES + self.most_console));
+        self.most.set(descriptors.saturating_sub(OTHER_FILES + self.most_admin));
         let shared = self.most.get().saturating_sub(DISCOVERY + REFUSALS) as f64;
         self.most_clients.set((shared * (1.0 - UPSTREAM_PART)) as usize);
     }
 
     /// Descriptors that the process holds now, with all that it keeps back.
     pub fn held(&self) -> usize {
-        self.clients.get() + self.others.get() + OTHER_FILES + self.most_console
+        self.clients.get() + self.others.get() + OTHER_FILES + self.most_admin
     }
 
     /// Room for one more, if there is.
@@ -99,7 +98,7 @@
                 clients < self.most_clients.get() + REFUSALS && open + DISCOVERY < self.most.get()
             }
             Purpose::Discovery => open < self.most.get(),
-            Purpose::Console => self.console.get() < self.most_console,
+            Purpose::Admin => self.admin.get() < self.most_admin,
         };
         free.then(|| {
             let count = self.count(purpose);
@@ -112,7 +111,7 @@
         match purpose {
             Purpose::Client | Purpose::Refusal => &self.clients,
             Purpose::Upstream | Purpose::Discovery => &self.others,
-            Purpose::Console => &self.console,
+            Purpose::Admin => &self.admin,
         }
     }
 }
@@ -458,56 +457,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against either side starving the other.
-    #[test]
-    fn clients_leave_room_for_upstreams_and_all_leave_room_for_discovery() {
-        let budget = Budget::new(256, true);
-        let take_all = |purpose| std::iter::from_fn(|| budget.take(purpose)).collect::<Vec<_>>();
-        let clients = take_all(Purpose::Client);
-        let upstreams = take_all(Purpose::Upstream);
-        assert!(upstreams.len() > 256 / 3 && clients.len() > 256 / 3);
-        assert!(budget.take(Purpose::Client).is_none());
-        assert!(!take_all(Purpose::Refusal).is_empty() && budget.take(Purpose::Discovery).is_some());
-        assert_eq!(take_all(Purpose::Console).len(), CONSOLE);
-        assert!(budget.held() > 200);
-        // A second process takes a half of them.
-        budget.limit(128);
-        drop((clients, upstreams));
-        let (clients, upstreams) = (take_all(Purpose::Client), take_all(Purpose::Upstream));
-        assert!(clients.len() > 30 && upstreams.len() > 30 && budget.held() <= 128);
-        drop(clients);
-        assert!(!take_all(Purpose::Upstream).is_empty());
-    }
-
-    /// Guards against taking a connection for idle while the end of its answer is still to be written.
-    #[test]
-    fn a_connection_is_blocked_until_its_peer_takes_what_waits() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        runtime.block_on(async {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            let address = listener.local_addr().expect("bound");
-            let permit = Budget::new(64, false).take(Purpose::Upstream).expect("room");
-            let mut socket = Socket::connect(address, permit).await.expect("a connection");
-            let (peer, _) = listener.accept().await.expect("the same");
-            let bytes = [0; 1 << 16];
-            let mut write = |cx: &mut Context<'_>| Pin::new(&mut socket).poll_write(cx, &bytes).is_pending();
-            std::future::poll_fn(|cx| {
-                while !write(cx) {}
-                Poll::Ready(())
-            })
-            .await;
-            assert!(socket.is_blocked());
-            let mut read = vec![0; 1 << 20];
-            while socket.is_blocked() {
-                peer.readable().await.expect("open");
-                let _ = peer.try_read(&mut read);
-                tokio::task::yield_now().await;
-                std::future::poll_fn(|cx| Poll::Ready(Pin::new(&mut socket).poll_write(cx, &[0]).is_ready()))
-                    .await;
-            }
-        });
-    }
-}
+#[path = "../../../tests/unit/socket.rs"]
+mod tests;
