--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -1,4 +1,4 @@
-//! Answers of upstreams that come in pieces, in all forms, or not to their end.
+//! Messages that come in pieces, in all forms, or not to their end.
 
 mod peers;
 use peers::*;
@@ -6,7 +6,7 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::{sleep, spawn};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const ID: &str = "Request-Id: {id}\r\n";
 
@@ -74,3 +74,54 @@
         assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"coins"[..]), "{form}");
     }
 }
+
+/// Guards against the same in a request, and against passing it on changed.
+#[test]
+fn requests_are_read_in_all_forms_byte_by_byte() {
+    let forms = [
+        "\r\nPOST /pay/a?b=c%20d HTTP/1.1\r\nHost: b\r\nrequest-id: f1\r\nCONTENT-LENGTH:\t5 \r\n\r\ncoins",
+        "POST http://backend.local/pay/a?b=c%20d HTTP/1.1\r\nHost: b\r\nREQUEST-ID:f2\r\nNews:\r\nContent-Length: 05\r\n\r\ncoins",
+        "POST /pay/a?b=c%20d HTTP/1.1\r\nRequest-Id: f3\r\nTransfer-Encoding: Chunked\r\n\r\n0002;a=\"b;c\"\r\nco\r\n3 ;d\r\nins\r\n0\r\nSum: 1\r\n\r\n",
+    ];
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with(&[upstream.address]);
+    let mut client = program.client();
+    for (number, form) in forms.iter().enumerate() {
+        for byte in form.chars() {
+            client.write(&byte.to_string());
+            sleep(Duration::from_micros(300));
+        }
+        assert_eq!(client.receive().unwrap().expect("an answer").status(), 200, "{form}");
+        let request = upstream.next();
+        assert_eq!(
+            (request.first.as_str(), request.body.as_slice()),
+            ("POST /pay/a?b=c%20d HTTP/1.1", &b"coins"[..])
+        );
+        assert_eq!(request.header("request-id"), Some(format!("f{}", number + 1).as_str()));
+    }
+}
+
+/// Guards against a spoilt answer that is read for as long as it comes.
+#[test]
+fn an_answer_that_never_comes_to_an_end_is_spoilt() {
+    let forms = [
+        ("HTTP/1.1 102 Processing\r\n\r\n", ""),
+        ("", "HTTP/1.1 200 OK\r\nNews: 1\r\n"),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "a=b;"),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "News: 1\r\n"),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+        ("HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nhi\r\n"),
+    ];
+    for (begin, again) in forms {
+        let again = if again.is_empty() { begin } else { again };
+        let address = upstream(move |stream| {
+            let _ = stream.write_all(begin.as_bytes());
+            // Until the connection is closed on it.
+            while stream.write_all(again.repeat(100).as_bytes()).is_ok() {}
+        });
+        let (program, _discovery) = Program::with(&[address]);
+        let begun = Instant::now();
+        assert_eq!(program.client().ask("/pay", ID, "coins").status(), 502, "{begin}{again}");
+        assert!(begun.elapsed() < Duration::from_secs(9), "before its client's time is up");
+    }
+}
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -91,3 +91,22 @@
     }
     assert!(program.memory() < 40 << 20, "{}", program.memory());
 }
+
+/// Guards against a request that is read after its connection was shut and goes on to an upstream: its client sends it
+/// again elsewhere.
+#[test]
+fn what_comes_after_the_shutdown_of_a_resting_connection_is_not_sent_on() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (mut program, _discovery) = Program::with(&[upstream.address]);
+    let mut clients: Vec<_> = (0..8).map(|_| program.client()).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.ask("/pay", ID, "coins").status(), 200));
+    assert_eq!(upstream.seen.try_iter().count(), 8);
+    program.terminate();
+    for client in &mut clients {
+        assert!(client.is_closed());
+        // The program may have ended by now.
+        let _ = client.send("/pay", ID, "coins");
+    }
+    assert!(program.wait().success());
+    assert!(upstream.seen.try_recv().is_err());
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -467,6 +467,10 @@
         (Self::start(&config, "127.0.0.1:0"), discovery)
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn client(&self) -> Client {
         Client::connect(self.address).unwrap()
     }
