--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -516,6 +516,10 @@
         (Self::start(&config, "127.0.0.1:0"), discovery)
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn client(&self) -> Client {
         Client::connect(self.address).unwrap()
     }
@@ -640,6 +644,11 @@
         move |text| out.write_all(text.as_bytes())
     }
 
+    /// Takes so many bytes, whatever they are.
+    pub fn take(&mut self, count: usize) {
+        self.input.read_exact(&mut vec![0; count]).unwrap();
+    }
+
     /// What is left until the connection ends.
     pub fn rest(&mut self) -> Vec<u8> {
         let mut rest = Vec::new();
