Keep descriptors for discovery alone, so that a watch opens also during an upgrade

Cause: reading the paths on which a call to discovery fails, "no descriptor is free" was the one that nothing bounds. Discovery's part was what the others left of the whole (socket.rs, Budget::take). When a second process takes a half of the descriptors, the whole falls below what is open, and no watch could be opened until so many clients had left: a change counts as told 6 s after discovery had it, whoever is there.

Change: five descriptors belong to discovery, as twelve do to the console, counted by themselves and in all that the process says it holds. What is left to clients and upstreams with one watch open is the same as before.

The unit test of the shares asks for them after the halving; with the old comparison it finds none of five.

--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -19,8 +19,9 @@
 const OTHER_FILES: usize = 16;
 /// Kept free so that a client can still be told 503 when there is room for nothing else.
 const REFUSALS: usize = 8;
-/// Kept free for discovery, which must get through when all else is crowded.
-const DISCOVERY: usize = 4;
+/// Kept for discovery alone, which must get through when all else is crowded, also when there is less for all than is
+/// open: its watches, and one that is just being closed.
+const DISCOVERY: usize = 5;
 /// Kept free for the operators' calls, where there is a console: whatever the load is, they get through.
 const CONSOLE: usize = 12;
 /// So much of what came last from a client is kept: a head as it came, as a rule.
@@ -51,7 +52,8 @@
 #[derive(Debug)]
 pub struct Budget {
     clients: Cell<usize>,
-    others: Cell<usize>,
+    upstreams: Cell<usize>,
+    discovery: Cell<usize>,
     console: Cell<usize>,
     most: Cell<usize>,
     most_clients: Cell<usize>,
@@ -60,37 +62,34 @@
 
 impl Budget {
     pub fn new(descriptors: usize, console: bool) -> Rc<Self> {
-        let (clients, others, console_open, most, most_clients) = Default::default();
+        let (clients, upstreams, discovery, console_open, most, most_clients) = Default::default();
         let most_console = if console { CONSOLE } else { 0 };
-        let budget = Budget { clients, others, console: console_open, most, most_clients, most_console };
+        let console = console_open;
+        let budget = Budget { clients, upstreams, discovery, console, most, most_clients, most_console };
         budget.limit(descriptors);
         Rc::new(budget)
     }
 
     /// From now on the process may hold so many descriptors; what is open beyond that stays open.
     pub fn limit(&self, descriptors: usize) {
-        self.most.set(descriptors.saturating_sub(OTHER_FILES + self.most_console));
-        let shared = self.most.get().saturating_sub(DISCOVERY + REFUSALS) as f64;
+        self.most.set(descriptors.saturating_sub(OTHER_FILES + DISCOVERY + self.most_console));
+        let shared = self.most.get().saturating_sub(REFUSALS) as f64;
         self.most_clients.set((shared * (1.0 - UPSTREAM_PART)) as usize);
     }
 
     /// Descriptors that the process holds now, with all that it keeps back.
     pub fn held(&self) -> usize {
-        self.clients.get() + self.others.get() + OTHER_FILES + self.most_console
+        self.clients.get() + self.upstreams.get() + OTHER_FILES + DISCOVERY + self.most_console
     }
 
     /// Room for one more, if there is.
     pub fn take(self: &Rc<Self>, purpose: Purpose) -> Option<Permit> {
-        let (clients, open) = (self.clients.get(), self.clients.get() + self.others.get());
+        let (clients, open) = (self.clients.get(), self.clients.get() + self.upstreams.get());
         let free = match purpose {
-            Purpose::Upstream => open + DISCOVERY + REFUSALS < self.most.get(),
-            Purpose::Client => {
-                clients < self.most_clients.get() && open + DISCOVERY + REFUSALS < self.most.get()
-            }
-            Purpose::Refusal => {
-                clients < self.most_clients.get() + REFUSALS && open + DISCOVERY < self.most.get()
-            }
-            Purpose::Discovery => open < self.most.get(),
+            Purpose::Upstream => open + REFUSALS < self.most.get(),
+            Purpose::Client => clients < self.most_clients.get() && open + REFUSALS < self.most.get(),
+            Purpose::Refusal => clients < self.most_clients.get() + REFUSALS && open < self.most.get(),
+            Purpose::Discovery => self.discovery.get() < DISCOVERY,
             Purpose::Console => self.console.get() < self.most_console,
         };
         free.then(|| {
@@ -103,7 +102,8 @@
     fn count(&self, purpose: Purpose) -> &Cell<usize> {
         match purpose {
             Purpose::Client | Purpose::Refusal => &self.clients,
-            Purpose::Upstream | Purpose::Discovery => &self.others,
+            Purpose::Upstream => &self.upstreams,
+            Purpose::Discovery => &self.discovery,
             Purpose::Console => &self.console,
         }
     }
--- a/tests/unit/socket.rs
+++ b/tests/unit/socket.rs
@@ -14,8 +14,9 @@
     assert!(!take_all(Purpose::Refusal).is_empty() && budget.take(Purpose::Discovery).is_some());
     assert_eq!(take_all(Purpose::Console).len(), CONSOLE);
     assert!(budget.held() > 200);
-    // A second process takes a half of them.
+    // A second process takes a half of them. Guards against a watch that waits until so many clients have left.
     budget.limit(128);
+    assert_eq!(take_all(Purpose::Discovery).len(), DISCOVERY);
     drop((clients, upstreams));
     let (clients, upstreams) = (take_all(Purpose::Client), take_all(Purpose::Upstream));
     assert!(clients.len() > 30 && upstreams.len() > 30 && budget.held() <= 128);
