Throw away no call to discovery whose turn may come, and none of an old watch

Cause: of the watches followed at a time the oldest was thrown away for a fourth (driver.rs, subscribe). Where discovery lets calls wait for longer than three of them take together, each was thrown away before its turn, so that a balancer never heard of anything; and where discovery has moved to a place that is silent, the watch at the old address went, which was the only one that heard. Ruled out: watches that fall silent one after the other, the third is heard as before.

Change: the first watch, from which the list comes, and the second, the next to have its turn, stay; of the others the older goes. Four are followed at a time, so that the others have more than 5 s where calls wait. What a call tells that waited for its turn is whole, so that it takes the list over, and those made beside it end: discovery is not asked to answer them too. At a move what was asked at a place between the old and the new one ends, as it would keep the second place.

Tests: a_call_that_waits_for_long_has_its_turn fails with the oldest thrown away, without the end of those beside it and without that of the calls at a place between; the_old_watch_is_heard_for_as_long_as_the_new_place_is_silent with the oldest thrown away. On the program: a_call_that_waits_is_heard_though_others_were_made_beside_it.

--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -35,8 +35,8 @@
 /// Where they are asked for, another call is made beside a silent watch after this time at the most. Guards against
 /// watches that fall silent together and come back in step.
 const ASIDE: Duration = Duration::from_millis(150);
-/// Watches that are followed at a time, of which all but the newest are silent.
-const MOST_WATCHES: usize = 3;
+/// Watches that are followed at a time, of which all but the newest are silent. No more than discovery has descriptors.
+const MOST_WATCHES: usize = 4;
 /// A new discovery that can't be watched is tried again after this time at the most. Guards against all
 /// balancers, told at once to move there, that come back in step.
 const MOVE_AGAIN: Duration = Duration::from_millis(400);
@@ -187,6 +187,8 @@
     index: u64,
     /// It has been silent for so long that something may be missing in what it tells.
     broken: bool,
+    /// Something whole has come on it.
+    spoke: bool,
     task: AbortHandle,
 }
 
@@ -352,8 +354,16 @@
 
     /// Discovery has sent a list, or what changed.
     pub fn list_changed(&mut self, watch: u64, list: List) {
+        let waited = self.watches.iter().any(|watching| watching.number == watch && !watching.spoke);
         self.list_lives(watch);
         let Some(watching) = self.watches.first_mut().filter(|first| first.number == watch) else { return };
+        // What a call waited for in turn tells all since the version asked for. Guards against discovery answering
+        // those that were made beside it as well.
+        if waited && watching.address == self.discovery.0 {
+            watching.broken = false;
+            self.watches.truncate(1);
+        }
+        let watching = &mut self.watches[0];
         if watching.address != self.source {
             // A new discovery counts its versions by itself.
             (self.source, self.index) = (watching.address, 0);
@@ -374,6 +384,7 @@
     /// The watch has told something. Guards against news of an old watch after those of a newer one.
     pub fn list_lives(&mut self, watch: u64) {
         if let Some(at) = self.watches.iter().position(|watching| watching.number == watch) {
+            self.watches[at].spoke = true;
             self.watches.drain(..at);
         }
     }
@@ -420,7 +431,9 @@
     pub fn move_discovery(&mut self, address: SocketAddr) {
         if address != self.discovery.0 {
             self.discovery.0 = address;
-            self.subscribe();
+            // What was asked at a place between the two has told nothing, and is not waited for.
+            self.watches.retain(|watching| [self.source, address].contains(&watching.address));
+            self.open_watch();
         }
     }
 
@@ -660,20 +673,26 @@
 
     /// Opens a watch, unless the newest is as good as that.
     fn subscribe(&mut self) {
+        let newest = self.watches.last();
+        if newest.is_none_or(|watching| watching.address != self.discovery.0 || watching.broken) {
+            self.open_watch();
+        }
+    }
+
+    fn open_watch(&mut self) {
         let (address, asked) = (self.discovery.0, self.discovery.1 == Discovery::Ask);
-        let last = self.watches.last();
         let Some(driver) = self.me.upgrade() else { return };
-        if last.is_some_and(|watching| watching.address == address && !watching.broken) {
-            return;
-        }
         self.last_watch += 1;
         let (number, since) = (self.last_watch, (self.source == address).then_some(self.index));
         let watch = discovery::Watch { number, address, since, asked };
         let task = spawn_local(discovery::watch(driver, self.budget.clone(), watch)).abort_handle();
         let index = since.unwrap_or(0);
-        self.watches.push(Watching { number, address, index, broken: false, task });
-        let over = self.watches.len().saturating_sub(MOST_WATCHES);
-        self.watches.drain(..over);
+        self.watches.push(Watching { number, address, index, broken: false, spoke: false, task });
+        if self.watches.len() > MOST_WATCHES {
+            // The list comes from the first, and the second is the next to have its turn. Guards against calls that
+            // all end before discovery comes to them, and against the end of a watch that hears at the old address.
+            self.watches.remove(2);
+        }
     }
 
     fn schedule(&mut self, at: Instant, due: Due) {
--- a/tests/unit/told.rs
+++ b/tests/unit/told.rs
@@ -41,6 +41,8 @@
     Silent,
     /// Told after this time, in seconds.
     Told(u64),
+    /// The same on a watch that lives meanwhile.
+    Lives(u64),
 }
 use Call::*;
 
@@ -109,7 +111,7 @@
             Refused | GivenUp => REFUSAL.into(),
             ResetInList => chunk(&NEWS[..9]),
             ResetAfterList => chunk("{\"index\":5,\"endpoints\":[]}\n"),
-            Silent => chunk("\n"),
+            Silent | Lives(_) => chunk("\n"),
             Told(_) => chunk(NEWS),
         };
         // The balancer may have closed it meanwhile.
@@ -118,7 +120,12 @@
             turns().await;
             return SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
         }
-        while matches!(call, Told(_)) && stream.write_all(b"1\r\n\n\r\n").await.is_ok() {
+        for seconds in (0..).step_by(2).take_while(|_| matches!(call, Told(_) | Lives(_))) {
+            let line = if call == Lives(seconds) { NEWS } else { "\n" };
+            let line = format!("{:x}\r\n{line}\r\n", line.len());
+            if stream.write_all(line.as_bytes()).await.is_err() {
+                return;
+            }
             sleep(Duration::from_secs(2)).await;
         }
         let _ = stream.read(&mut bytes).await;
@@ -268,6 +275,31 @@
     });
 }
 
+/// Guards against calls that are given up and made again for ever where discovery lets them wait for long, and
+/// against asking for the same once more when one of them has had its turn.
+#[test]
+fn a_call_that_waits_for_long_has_its_turn() {
+    run(async {
+        for (mode, moved) in MODES.iter().flat_map(|mode| [(*mode, false), (*mode, true)]) {
+            let (old, other) = (Stand::up(&[Silent]), Stand::up(&[Swallowed; 60]));
+            let discovery = Stand::up(&[Told(30); 60]);
+            let driver = start(if moved { old.address } else { discovery.address }, mode, 1);
+            if moved {
+                until(|| old.calls() > 0).await;
+                driver.borrow_mut().move_discovery(other.address);
+                driver.borrow_mut().move_discovery(discovery.address);
+            }
+            until(|| discovery.calls() > 0).await;
+            let time = told(&driver, &discovery).await;
+            assert!(time < Duration::from_secs(31), "{mode:?} {moved} {time:?}");
+            assert_eq!((driver.borrow().watches.len(), driver.borrow().watches[0].broken), (1, false));
+            let made = discovery.calls();
+            pass(60).await;
+            assert_eq!(discovery.calls(), made, "{mode:?}");
+        }
+    });
+}
+
 /// Guards against giving up a call that discovery lets wait in turn, and against making it a second time.
 #[test]
 fn a_call_that_has_to_wait_for_its_turn_is_not_made_twice() {
@@ -306,6 +338,21 @@
     });
 }
 
+/// Guards against the end of the watch at the old address while the new one is silent: there is no other.
+#[test]
+fn the_old_watch_is_heard_for_as_long_as_the_new_place_is_silent() {
+    run(async {
+        for mode in MODES {
+            let (old, new) = (Stand::up(&[Lives(12)]), Stand::up(&[Swallowed; 60]));
+            let driver = start(old.address, mode, 1);
+            until(|| old.calls() > 0).await;
+            driver.borrow_mut().move_discovery(new.address);
+            assert!(told(&driver, &old).await < Duration::from_secs(13), "{mode:?}");
+            assert!(new.calls() > 3);
+        }
+    });
+}
+
 /// Guards against a balancer that hears of nothing while others hold all descriptors.
 #[test]
 fn a_watch_is_opened_though_no_descriptor_is_free() {
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -232,6 +232,20 @@
     }
 }
 
+/// Guards against throwing away what a call that had to wait in turn tells in the end, when others have been made
+/// beside it.
+#[test]
+fn a_call_that_waits_is_heard_though_others_were_made_beside_it() {
+    let rig = Rig::new("ask");
+    rig.warm();
+    let mut waiting = rig.discovery.next();
+    let mut beside: Vec<_> = (0..3).map(|_| rig.discovery.next()).collect();
+    waiting.line(&rig.change(6));
+    rig.changed();
+    beside.iter_mut().for_each(Watch::ended);
+    assert!(waiting.is_open());
+}
+
 /// Guards against waits that grow while discovery is away, and against a call that is swallowed, and one that is reset,
 /// as it comes back: what it has counts as told 6 s later.
 #[test]
