--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -45,6 +45,9 @@
 const SILENT: Duration = Duration::from_millis(30);
 /// A request takes no longer than this to be written, as a rule.
 const HALF_SENT: Duration = Duration::from_millis(500);
+/// With no room at all, a new connection waits for so many turns of the other tasks: what those that came with it have sent
+/// may be unread only because they had none yet.
+const TURNS: usize = 16;
 /// Once clients are sent away, the front has noticed after this time, and what is idle is closed.
 const FRONT_NOTICES: Duration = Duration::from_millis(700);
 /// After SIGTERM what has come by then may still be open when the process is killed, and what comes later may not.
@@ -67,8 +70,8 @@
     fresh: Cell<bool>,
     /// It has carried a request that was taken, not just asked for health.
     asked: Cell<bool>,
-    /// A request has been taken and has no answer yet; true if all of it is here.
-    waits: Cell<Option<bool>>,
+    /// A request has been taken and has no answer yet.
+    waits: Cell<bool>,
     /// An answer is on its way in parts.
     streaming: Cell<bool>,
     closing: Cell<bool>,
@@ -80,6 +83,8 @@
     /// It is to make room.
     evicting: Cell<bool>,
     evicted: Notify,
+    /// It has made room, or has not.
+    settled: Rc<Notify>,
 }
 
 impl Client {
@@ -91,7 +96,7 @@
             idle: Cell::new(Some(opened)),
             fresh: Cell::new(true),
             asked: Cell::new(false),
-            waits: Cell::new(None),
+            waits: Cell::new(false),
             streaming: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
@@ -99,6 +104,7 @@
             turned_away: Cell::new(false),
             evicting: Cell::new(false),
             evicted: Notify::new(),
+            settled: Rc::default(),
         })
     }
 
@@ -145,23 +151,22 @@
         }
     }
 
-    /// Ends when the client has left while its request waits. Guards against sending on what nobody wants any more
+    /// Ends when the client has left while its request waits. Guards against holding what nobody wants any more
     /// where bytes behind the request hide the end of the connection: whoever reads them would read no further.
     async fn left(&self) {
         loop {
-            let ready = self.socket.stirs().await;
-            let ended = ready.is_read_closed() || ready.is_error();
-            match self.waits.get() {
-                Some(_) if ended => return,
-                Some(true) if self.socket.ends_behind() => return,
-                _ => sleep(LOOK).await,
+            self.socket.stirs().await;
+            if self.waits.get() && self.socket.has_left() {
+                return;
             }
+            sleep(LOOK).await;
         }
     }
 
     /// How dear it is, if it may be closed to make room. Those that have waited long for a further request go first,
     /// then those that have never sent anything or only asked for health, those that don't finish their first
-    /// request, and at last any that wait for a further one; among the same, the longest.
+    /// request, those that wait for a further one, then any on which nothing but calls for health has come, and at last
+    /// those whose first request still comes; among the same, the longest.
     fn dearness(&self) -> Option<(usize, Instant)> {
         let spare = !self.evicting.get() && !self.socket.is_blocked();
         let since = self.idle.get().filter(|_| spare)?;
@@ -173,6 +178,10 @@
             (false, None) if age >= SILENT && !self.asked.get() => 1,
             (_, Some(asking)) if asking.elapsed() >= HALF_SENT => 2,
             (false, None) if age >= HALF_SENT => 3,
+            // Guards against shutting whoever comes with a request for the sake of those that come with nothing.
+            (_, None) if !self.asked.get() => 4,
+            // Nor of those that come with half of one. The first on a connection may be shut.
+            (true, Some(_)) => 5,
             _ => return None,
         };
         Some((kind, since))
@@ -324,34 +333,66 @@
         // Guards against silent connections that keep all others waiting behind them: whoever comes is taken or
         // turned away at once.
         let mut permit = self.budget.take(Purpose::Client);
-        if permit.is_none() && self.make_room().await {
-            permit = self.budget.take(Purpose::Client);
+        let mut refused = false;
+        for _ in 0..TURNS {
+            if permit.is_some() {
+                break;
+            }
+            if self.make_room().await {
+                permit = self.budget.take(Purpose::Client);
+            }
+            refused = permit.is_none();
+            permit = permit.or_else(|| self.budget.take(Purpose::Refusal));
+            if permit.is_none() {
+                yield_now().await;
+            }
         }
-        let refused = permit.is_none();
         // With no room even for a refusal, closing is all that is left.
-        let Some(permit) = permit.or_else(|| self.budget.take(Purpose::Refusal)) else { return };
-        spawn_local(self.clone().serve(Socket::of_client(stream, permit), refused));
+        let Some(permit) = permit else { return };
+        let number = self.accepted.get();
+        self.accepted.set(number + 1);
+        let client = Client::new(Socket::of_client(stream, permit));
+        self.clients.borrow_mut().insert(number, client.clone());
+        spawn_local(self.clone().serve(number, client, refused));
     }
 
     /// Closes the client's connection that can best be spared; false if there is none.
     async fn make_room(&self) -> bool {
-        {
-            let clients = self.clients.borrow();
-            let spare = clients.values().filter_map(|client| Some((client.dearness()?, client)));
-            let mut spare: Vec<_> = spare.collect();
-            spare.sort_unstable_by_key(|(dearness, _)| *dearness);
-            // Guards against closing on a request that has come and is still unread. Asking the kernel is dear, so
-            // it is asked of few.
-            let free = |client: &Client| client.over.get() || client.socket.is_quiet();
-            let Some((_, client)) = spare.iter().find(|(_, client)| free(client)) else {
-                return false;
+        loop {
+            let (number, settled) = {
+                let clients = self.clients.borrow();
+                let spare = clients.iter().filter_map(|(number, client)| Some((client.dearness()?, number)));
+                let mut spare: Vec<_> = spare.collect();
+                spare.sort_unstable();
+                // Guards against closing on a request that has come and is still unread. Asking the kernel is dear,
+                // so it is asked of few.
+                let mut spare = spare.into_iter().map(|(_, number)| (*number, &clients[number]));
+                let free = |client: &Client| client.over.get() || !client.socket.has_unread();
+                let Some((number, client)) = spare.find(|(_, client)| free(client)) else {
+                    return false;
+                };
+                client.evicting.set(true);
+                client.evicted.notify_one();
+                (number, client.settled.clone())
             };
-            client.evicting.set(true);
-            client.evicted.notify_one();
+            // Its task closes it, unless something has come meanwhile.
+            settled.notified().await;
+            if !self.clients.borrow().contains_key(&number) {
+                return true;
+            }
+        }
+    }
+
+    /// True if there is room after all for a client that found none when it came. Guards against turning away whoever
+    /// asks for the sake of those that don't.
+    async fn has_room_now(&self, client: &Client) -> bool {
+        // It is not to make that room itself.
+        client.idle.set(None);
+        while self.budget.is_over() {
+            if !self.make_room().await {
+                return false;
+            }
         }
-        // Lets the connection's task close it.
-        yield_now().await;
-        yield_now().await;
         true
     }
 
@@ -360,20 +401,17 @@
         self.draining.get().is_some() || self.away.get().is_some()
     }
 
-    async fn serve(self: Rc<Self>, socket: Socket, refused: bool) {
-        let number = self.accepted.get();
-        self.accepted.set(number + 1);
-        let client = Client::new(socket.clone());
-        self.clients.borrow_mut().insert(number, client.clone());
+    async fn serve(self: Rc<Self>, number: u64, client: Rc<Client>, refused: bool) {
         let last = refused || self.sheds();
         let mut http = http1::Builder::new();
         http.keep_alive(!last).max_buf_size(LARGEST_HEAD).max_headers(MOST_HEADERS);
-        client.closing.set(last);
+        client.closing.set(last || client.closing.get());
         let service = service_fn(|request: Request<Incoming>| {
             let (server, client) = (&self, &client);
             async move {
                 client.idle.set(Some(if client.fresh.get() { client.opened } else { Instant::now() }));
                 let unread = !request.body().is_end_stream();
+                let refused = refused && !server.has_room_now(client).await;
                 let mut answer = match refused {
                     true => server.refuse(&request),
                     false => server.answer(request, client).await,
@@ -392,7 +430,7 @@
             }
         });
         {
-            let connection = http.serve_connection(socket, service);
+            let connection = http.serve_connection(client.socket.clone(), service);
             let (stuck, left) = (client.stuck(), client.left());
             tokio::pin!(connection, stuck, left);
             loop {
@@ -414,9 +452,10 @@
                     () = &mut left => break,
                     () = client.evicted.notified() => {
                         client.evicting.set(false);
-                        if client.idle.get().is_some() && client.socket.is_quiet() {
+                        if client.idle.get().is_some() && !client.socket.has_unread() {
                             break;
                         }
+                        client.settled.notify_one();
                     }
                 }
             }
@@ -429,6 +468,7 @@
             }
         }
         self.clients.borrow_mut().remove(&number);
+        client.settled.notify_one();
     }
 
     /// There is no room for whoever asks. A request is refused like any other, and counted.
@@ -472,9 +512,12 @@
         };
         // Dropped with this future when the client goes away first.
         let _gone = Gone { driver: &self.driver, id };
-        client.waits.set(Some(!upload.is_streamed()));
+        client.waits.set(true);
+        // Nobody reads what comes behind a request that is whole before it has its answer.
+        client.socket.read_ahead(!upload.is_streamed());
         let answer = answer.await;
-        client.waits.set(None);
+        client.waits.set(false);
+        client.socket.read_ahead(false);
         if upload.is_streamed() {
             let upload = upload.clone();
             spawn_local(async move { upload.discard().await });
@@ -507,10 +550,15 @@
                 value.map(|value| response.headers_mut().insert("retry-after", value));
                 response
             }
-            Ok(Final::Failed) | Err(_) => {
+            Ok(Final::Failed) => {
                 request.end(Ending::Failed);
                 plain(StatusCode::BAD_GATEWAY, "failed")
             }
+            // None is owed, as the client has left; it counts under no ending.
+            Err(_) => {
+                client.close();
+                plain(StatusCode::BAD_GATEWAY, "its client has left")
+            }
         }
     }
 
@@ -605,7 +653,8 @@
         // Guards against a request that is still open when the process is killed, and so is lost.
         let settled = self.draining.clone();
         let upload = Rc::new(upload);
-        let forward = Forward { method: head.method, uri, headers, upload, wait, settled };
+        let client = client.socket.peer();
+        let forward = Forward { method: head.method, uri, headers, upload, client, wait, settled };
         Ok(Taken { name, class, tenant, cost_hint, forward })
     }
 }
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -2,17 +2,20 @@
 
 use crate::stats::Stats;
 use hyper::rt::{Read, ReadBufCursor, Write};
+use nix::libc::POLLRDHUP;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::SockRef;
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::VecDeque;
-use std::io::{self, IoSlice};
+use std::io::{self, IoSlice, Read as _};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsFd;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{Interest, Ready};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::{sleep, Instant};
@@ -21,8 +24,9 @@
 const OTHER_FILES: usize = 16;
 /// Kept free so that a client can still be told 503 when there is room for nothing else.
 const REFUSALS: usize = 8;
-/// Kept free for discovery, which must get through when all else is crowded.
-const DISCOVERY: usize = 4;
+/// Kept free for discovery, which must get through when all else is crowded: the watches that are followed at a time, and
+/// one that takes the place of another.
+const DISCOVERY: usize = 5;
 /// Kept free for the admin endpoint, where there is one: whatever the load is, operators get through.
 const ADMIN: usize = 12;
 /// So much of what came last from a client is kept: a head as it came, as a rule.
@@ -57,6 +61,7 @@
 pub struct Budget {
     clients: Cell<usize>,
     others: Cell<usize>,
+    discovery: Cell<usize>,
     admin: Cell<usize>,
     most: Cell<usize>,
     most_clients: Cell<usize>,
@@ -67,37 +72,39 @@
 
 impl Budget {
     pub fn new(descriptors: usize, admin: bool) -> Rc<Self> {
-        let (clients, others, admin_open, most, most_clients, ahead) = Default::default();
-        let most_admin = if admin { ADMIN } else { 0 };
-        let budget = Budget { clients, others, admin: admin_open, most, most_clients, most_admin, ahead };
+        let (clients, others, discovery, admin_open, most, most_clients, ahead) = Default::default();
+        let (most_admin, admin) = (if admin { ADMIN } else { 0 }, admin_open);
+        let budget = Budget { clients, others, discovery, admin, most, most_clients, most_admin, ahead };
         budget.limit(descriptors);
         Rc::new(budget)
     }
 
     /// From now on the process may hold so many descriptors; what is open beyond that stays open.
     pub fn limit(&self, descriptors: usize) {
-        self.most.set(descriptors.saturating_sub(OTHER_FILES + self.most_admin));
-        let shared = self.most.get().saturating_sub(DISCOVERY + REFUSALS) as f64;
+        self.most.set(descriptors.saturating_sub(self.kept()));
+        let shared = self.most.get().saturating_sub(REFUSALS) as f64;
         self.most_clients.set((shared * (1.0 - UPSTREAM_PART)) as usize);
     }
 
     /// Descriptors that the process holds now, with all that it keeps back.
     pub fn held(&self) -> usize {
-        self.clients.get() + self.others.get() + OTHER_FILES + self.most_admin
+        self.clients.get() + self.others.get() + self.kept()
+    }
+
+    /// Descriptors that neither clients nor upstreams may have.
+    fn kept(&self) -> usize {
+        OTHER_FILES + DISCOVERY + self.most_admin
     }
 
     /// Room for one more, if there is.
     pub fn take(self: &Rc<Self>, purpose: Purpose) -> Option<Permit> {
         let (clients, open) = (self.clients.get(), self.clients.get() + self.others.get());
         let free = match purpose {
-            Purpose::Upstream => open + DISCOVERY + REFUSALS < self.most.get(),
-            Purpose::Client => {
-                clients < self.most_clients.get() && open + DISCOVERY + REFUSALS < self.most.get()
-            }
-            Purpose::Refusal => {
-                clients < self.most_clients.get() + REFUSALS && open + DISCOVERY < self.most.get()
-            }
-            Purpose::Discovery => open < self.most.get(),
+            Purpose::Upstream => open + REFUSALS < self.most.get(),
+            Purpose::Client => clients < self.most_clients.get() && open + REFUSALS < self.most.get(),
+            Purpose::Refusal => clients < self.most_clients.get() + REFUSALS && open < self.most.get(),
+            // Also where the others hold more than their part, as that has just been made smaller.
+            Purpose::Discovery => self.discovery.get() < DISCOVERY,
             Purpose::Admin => self.admin.get() < self.most_admin,
         };
         free.then(|| {
@@ -107,10 +114,17 @@
         })
     }
 
+    /// True while clients hold more than their part, so that one has come that was only to be refused.
+    pub fn is_over(&self) -> bool {
+        let open = self.clients.get() + self.others.get();
+        self.clients.get() > self.most_clients.get() || open + REFUSALS > self.most.get()
+    }
+
     fn count(&self, purpose: Purpose) -> &Cell<usize> {
         match purpose {
             Purpose::Client | Purpose::Refusal => &self.clients,
-            Purpose::Upstream | Purpose::Discovery => &self.others,
+            Purpose::Upstream => &self.others,
+            Purpose::Discovery => &self.discovery,
             Purpose::Admin => &self.admin,
         }
     }
@@ -153,10 +167,15 @@
     /// Bytes that were read ahead of whoever is to read them, and whether more came that were dropped.
     ahead: RefCell<VecDeque<u8>>,
     cut: Cell<bool>,
+    /// Nobody reads what comes, so that it may be read ahead.
+    reads_ahead: Cell<bool>,
     /// What is to be told once so many bytes are written.
     whole: RefCell<Option<(usize, Rc<Stats>)>>,
     /// It has to be quiet when its next byte is written.
     wants_quiet: Cell<bool>,
+    /// For whom it carries a request, and with how many bytes written in all that is whole.
+    client: RefCell<Peer>,
+    end: Cell<usize>,
     permit: Permit,
 }
 
@@ -188,7 +207,8 @@
         let _ = stream.set_nodelay(true);
         let (read, most_read) = (Cell::new(0), Cell::new(usize::MAX));
         let (written, wants_quiet) = (Cell::new(0), Cell::new(false));
-        let (asking, blocked, ahead, cut) = Default::default();
+        let (asking, blocked, ahead, cut, reads_ahead) = Default::default();
+        let (client, end) = (RefCell::default(), Cell::new(usize::MAX));
         let (last_read, last_written) = (Cell::new(Instant::now()), Cell::new(Instant::now()));
         let (recent, whole) = Default::default();
         Socket(Rc::new(Inner {
@@ -204,8 +224,11 @@
             keeps_recent,
             ahead,
             cut,
+            reads_ahead,
             whole,
             wants_quiet,
+            client,
+            end,
             permit,
         }))
     }
@@ -236,10 +259,12 @@
         self.0.last_read.get()
     }
 
-    /// A new exchange begins: nothing may have come before its first byte is written, and so many bytes may come
-    /// until more is allowed.
-    pub fn begin(&self, most_read: usize) {
+    /// A new exchange begins for this client: nothing may have come before its first byte is written, and so many
+    /// bytes may come until more is allowed.
+    pub fn begin(&self, client: Peer, most_read: usize) {
         self.0.wants_quiet.set(true);
+        *self.0.client.borrow_mut() = client;
+        self.0.end.set(usize::MAX);
         self.0.most_read.set(self.read().saturating_add(most_read));
         *self.0.whole.borrow_mut() = None;
     }
@@ -251,6 +276,7 @@
 
     /// An attempt is whole, and counted, once so many bytes are written in all.
     pub fn count_at(&self, written: usize, stats: Rc<Stats>) {
+        self.0.end.set(written);
         *self.0.whole.borrow_mut() = Some((written, stats));
         self.note_written(0);
     }
@@ -290,18 +316,42 @@
     }
 
     /// Waits until bytes, the end or an error have come.
-    pub async fn stirs(&self) -> Ready {
-        let ready = self.0.stream.ready(Interest::READABLE | Interest::ERROR).await;
-        // What can't be asked any more has ended.
-        ready.unwrap_or(Ready::ERROR)
+    pub async fn stirs(&self) {
+        // What can't be waited for is asked.
+        let _ = self.0.stream.ready(Interest::READABLE | Interest::ERROR).await;
+    }
+
+    /// The other side of this connection, for those who ask after it and don't keep it open.
+    pub fn peer(&self) -> Peer {
+        Peer(Some(Rc::downgrade(&self.0)))
+    }
+
+    /// What comes may be read ahead, as nobody reads it, or may no more.
+    pub fn read_ahead(&self, may: bool) {
+        self.0.reads_ahead.set(may);
+    }
+
+    /// True if the peer has closed its connection, its half of it, or reset it, also with bytes unread before that.
+    /// Asks the kernel: the event loop knows only what had come when it last looked.
+    pub fn has_left(&self) -> bool {
+        let mut asked = [PollFd::new(self.0.stream.as_fd(), PollFlags::from_bits_retain(POLLRDHUP))];
+        poll(&mut asked, PollTimeout::ZERO).is_ok_and(|ended| ended > 0)
+            || self.0.reads_ahead.get() && self.ends_behind()
     }
 
-    /// True if the peer has closed or reset the connection. What it has sent before that may hide its end, or keep it
-    /// from coming: it is read ahead, and what is too much for that is dropped with all that follows.
-    pub fn ends_behind(&self) -> bool {
+    /// True if the end comes behind what there is to read. Too much of that keeps it from coming: it is read ahead, and
+    /// what is too much for that too is dropped with all that follows.
+    fn ends_behind(&self) -> bool {
         let mut bytes = [0; 8192];
         for _ in 0..MOST_PIECES {
-            match self.0.stream.try_read(&mut bytes) {
+            let read = match self.0.stream.try_read(&mut bytes) {
+                // The event loop may not know of it yet.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    (&*SockRef::from(&self.0.stream)).read(&mut bytes)
+                }
+                read => read,
+            };
+            match read {
                 Ok(0) => return true,
                 Ok(count) => {
                     self.0.last_read.set(Instant::now());
@@ -324,17 +374,14 @@
     /// unread, as a request among them is to be sent again elsewhere; but what is left of one that was `turned_away` is
     /// read to no end.
     pub async fn outlast(&self, turned_away: bool, look: Duration) {
-        let socket = SockRef::from(&self.0.stream);
         // It may have been ended before, or have broken.
-        let _ = socket.shutdown(Shutdown::Write);
-        if !turned_away && !matches!(socket.peek(&mut [MaybeUninit::uninit()]), Ok(1..)) {
+        let _ = SockRef::from(&self.0.stream).shutdown(Shutdown::Write);
+        self.read_ahead(turned_away);
+        if !turned_away && !self.has_unread() {
             return;
         }
-        while !(turned_away && self.ends_behind()) {
-            let ready = self.stirs().await;
-            if ready.is_read_closed() || ready.is_error() {
-                return;
-            }
+        while !self.has_left() {
+            self.stirs().await;
             match turned_away {
                 true => yield_now().await,
                 false => sleep(look).await,
@@ -342,6 +389,12 @@
         }
     }
 
+    /// True if the peer has sent something that is still unread, closed or not. Asks the kernel, as below.
+    pub fn has_unread(&self) -> bool {
+        let peeked = SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()]);
+        !self.0.ahead.borrow().is_empty() || matches!(peeked, Ok(1..))
+    }
+
     /// True if the peer has neither closed nor sent anything that is still unread. Asks the kernel: what the
     /// event loop knows may be older than the peer's farewell.
     pub fn is_quiet(&self) -> bool {
@@ -353,6 +406,18 @@
     }
 }
 
+/// The other side of a connection, which stays open without it; that of none never leaves.
+#[derive(Clone, Debug, Default)]
+pub struct Peer(Option<Weak<Inner>>);
+
+impl Peer {
+    /// True if it has left, or its connection is closed.
+    pub fn has_left(&self) -> bool {
+        let connection = self.0.as_ref().map(Weak::upgrade);
+        connection.is_some_and(|open| open.is_none_or(|inner| Socket(inner).has_left()))
+    }
+}
+
 impl Read for Socket {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -407,11 +472,19 @@
     fn poll_try(
         &self,
         cx: &mut Context<'_>,
+        length: usize,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        let first = self.0.wants_quiet.replace(false);
         // Guards against a request on a connection that has just been closed, and against what belongs to
         // the exchange before, come late, being taken for its answer.
-        if self.0.wants_quiet.replace(false) && !self.is_quiet() {
+        if first && !self.is_quiet() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        // Guards against sending on what nobody wants any more, however long ago the event loop has looked at its
+        // client: its upstream begins with the last byte.
+        let last = self.written().saturating_add(length) >= self.0.end.get();
+        if (first || last) && self.0.client.borrow().has_left() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         loop {
@@ -432,7 +505,7 @@
 
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_try(cx, |stream| stream.try_write(bytes))
+        self.poll_try(cx, bytes.len(), |stream| stream.try_write(bytes))
     }
 
     fn poll_write_vectored(
@@ -440,7 +513,8 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_try(cx, |stream| stream.try_write_vectored(slices))
+        let length = slices.iter().map(|slice| slice.len()).sum();
+        self.poll_try(cx, length, |stream| stream.try_write_vectored(slices))
     }
 
     fn is_write_vectored(&self) -> bool {
