--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -4,7 +4,7 @@
 
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -108,6 +108,8 @@
     /// One message for each connection that ended.
     pub closed: Receiver<()>,
     pub connections: Arc<AtomicU64>,
+    /// Answers that have been written.
+    pub answered: Arc<AtomicU64>,
     reply: Arc<Mutex<Reply>>,
     gate: Arc<Gate>,
 }
@@ -125,12 +127,14 @@
         let (closing, closed) = channel();
         let reply = Arc::new(Mutex::new(reply));
         let connections = Arc::new(AtomicU64::new(0));
+        let answered = Arc::new(AtomicU64::new(0));
         let gate = Arc::new((Mutex::new(false), Condvar::new()));
         let upstream = Upstream {
             address: listener.local_addr().unwrap(),
             seen,
             closed,
             connections: connections.clone(),
+            answered: answered.clone(),
             reply: reply.clone(),
             gate: gate.clone(),
         };
@@ -138,10 +142,10 @@
             for stream in listener.incoming().map_while(Result::ok) {
                 connections.fetch_add(1, Ordering::SeqCst);
                 let (reply, sender, closing) = (reply.clone(), sender.clone(), closing.clone());
-                let gate = gate.clone();
+                let (gate, answered) = (gate.clone(), answered.clone());
                 thread::spawn(move || {
                     // However the connection ends, it has ended.
-                    let _ = answer_all(stream, &reply, &sender, &gate);
+                    let _ = answer_all(stream, &reply, &sender, &gate, &answered);
                     let _ = closing.send(());
                 });
             }
@@ -174,6 +178,7 @@
     reply: &Mutex<Reply>,
     seen: &Sender<Message>,
     gate: &Gate,
+    answered: &AtomicU64,
 ) -> io::Result<()> {
     let mut out = stream.try_clone()?;
     let mut input = BufReader::new(stream);
@@ -209,6 +214,7 @@
                 return Ok(());
             }
         }
+        answered.fetch_add(1, Ordering::SeqCst);
     }
     Ok(())
 }
@@ -227,7 +233,10 @@
 
 impl DiscoveryPeer {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    fn on(listener: TcpListener) -> Self {
         let address = listener.local_addr().unwrap();
         let (sender, watches) = channel();
         thread::spawn(move || {
@@ -325,7 +334,8 @@
 pub struct Door {
     pub address: SocketAddr,
     listener: TcpListener,
-    waiting: Vec<TcpStream>,
+    /// What keeps others out.
+    pub waiting: Vec<TcpStream>,
 }
 
 impl Door {
@@ -341,6 +351,27 @@
     }
 }
 
+/// An address that refuses connections, and that nobody else can take.
+pub struct Refusing {
+    pub address: SocketAddr,
+    socket: Socket,
+}
+
+impl Refusing {
+    pub fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        Refusing { address, socket }
+    }
+
+    /// From now on discovery is there.
+    pub fn discovery(self) -> DiscoveryPeer {
+        self.socket.listen(128).unwrap();
+        DiscoveryPeer::on(self.socket.into())
+    }
+}
+
 fn shut() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
@@ -389,9 +420,14 @@
     path
 }
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_magpiechute");
+
 fn spawn_with(variables: &[(&str, &str)], config: &Path, listen: &str) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_magpiechute"))
-        .env("PROXY_CONFIG", config)
+    spawn_by(Command::new(PROGRAM), variables, config, listen)
+}
+
+fn spawn_by(mut run: Command, variables: &[(&str, &str)], config: &Path, listen: &str) -> Child {
+    run.env("PROXY_CONFIG", config)
         .env("PROXY_LISTEN", listen)
         .env_remove("PROXY_DISCOVERY")
         .env_remove("PROXY_NAME")
@@ -410,7 +446,20 @@
 
     pub fn start_with(variables: &[(&str, &str)], config: &str, listen: &str) -> Self {
         let config = write_config(config);
-        let mut child = spawn_with(variables, &config, listen);
+        let child = spawn_with(variables, &config, listen);
+        Self::of(child, config)
+    }
+
+    /// A program that the system lets hold so many descriptors, whatever its configuration says.
+    pub fn start_limited(descriptors: usize, variables: &[(&str, &str)], config: &str) -> Self {
+        let config = write_config(config);
+        let mut run = Command::new("sh");
+        run.args(["-c", "ulimit -n $0 && exec $1", &descriptors.to_string(), PROGRAM]);
+        let child = spawn_by(run, variables, &config, "127.0.0.1:0");
+        Self::of(child, config)
+    }
+
+    fn of(mut child: Child, config: PathBuf) -> Self {
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let (mut line, mut console) = (String::new(), None);
         let last = |line: &str| line.trim_end().rsplit(' ').next().unwrap().parse().unwrap();
@@ -488,6 +537,18 @@
     /// Holds the program still until it is to go on; what it is told meanwhile waits for that.
     pub fn hold(&self) {
         self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+            thread::yield_now();
+        }
+    }
+
+    /// True once the close or the reset of the client with this port has reached the machine of the program, read or not.
+    pub fn has_end_of(&self, client: u16) -> bool {
+        let (here, there) = (format!(":{:04X}", self.address.port()), format!(":{client:04X}"));
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let mut rows = table.lines().map(|line| line.split_whitespace().skip(1).collect::<Vec<_>>());
+        rows.all(|row| !(row[0].ends_with(&here) && row[1].ends_with(&there) && row[2] == ESTABLISHED))
     }
 
     pub fn go_on(&self) {
@@ -529,6 +590,9 @@
     }
 }
 
+/// A connection that is up and of which neither side has closed, as the kernel's table names it.
+const ESTABLISHED: &str = "01";
+
 static IDS: AtomicU64 = AtomicU64::new(0x1000);
 
 /// A client's connection.
@@ -555,6 +619,15 @@
         self.out.write_all(text.as_bytes())
     }
 
+    pub fn port(&self) -> u16 {
+        self.out.local_addr().unwrap().port()
+    }
+
+    /// Closes the half of the connection on which it sends.
+    pub fn half_close(&self) {
+        self.out.shutdown(Shutdown::Write).unwrap();
+    }
+
     /// Resets the connection.
     pub fn reset(self) {
         SockRef::from(&self.out).set_linger(Some(Duration::ZERO)).unwrap();
