--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -411,7 +411,8 @@
             async move {
                 client.idle.set(Some(if client.fresh.get() { client.opened } else { Instant::now() }));
                 let unread = !request.body().is_end_stream();
-                let mut answer = match refused && !server.has_room_now(client).await {
+                let refused = refused && !server.has_room_now(client).await;
+                let mut answer = match refused {
                     true => server.refuse(&request),
                     false => server.answer(request, client).await,
                 };
