Tell a silence that runs out in the very turn in which something comes

Cause: tests/watches.rs, empty_lines_inside_a_list_are_no_sign_of_life, failed once on a busy machine: no further watch came. In or_silent (discovery.rs) the branch for the silence was asked for only while its time had not run out. Where that ran out in a turn in which a piece came, the piece went first, the time counted as over from then on, and the silence was never told. Ruled out: the test, which sends nothing whole.

Change: whether it has been told is kept beside the time.

Result: a test on a paused clock, seen to fail with the old condition put back.

--- a/src/bin/magpiechute/discovery.rs
+++ b/src/bin/magpiechute/discovery.rs
@@ -96,10 +96,11 @@
         .body(Empty::new());
     let Ok(request) = request else { return "the request can't be written".into() };
     let patience = if asked && since.is_some() { ASKED } else { PUSHED };
-    let mut silent = pin!(sleep(patience));
+    let mut patience = Patience::new(patience);
+    let silent = || driver.borrow_mut().list_silent(number);
     let read = async {
         let mut answer = pin!(sender.send_request(request));
-        let response = match or_silent(&mut answer, silent.as_mut(), driver, number).await {
+        let response = match patience.wait(&mut answer, silent).await {
             Ok(response) => response,
             Err(error) => return error.to_string(),
         };
@@ -109,7 +110,7 @@
         let mut body = response.into_body();
         let mut messages = Messages::default();
         loop {
-            let chunk = match or_silent(&mut body.frame(), silent.as_mut(), driver, number).await {
+            let chunk = match patience.wait(&mut body.frame(), silent).await {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(error)) => return error.to_string(),
                 None => return "the watch ended".into(),
@@ -117,7 +118,7 @@
             match messages.take(&chunk, |list| driver.borrow_mut().list_changed(number, list)) {
                 Ok(true) => {
                     driver.borrow_mut().list_lives(number);
-                    silent.as_mut().reset(Instant::now() + SILENCE);
+                    patience.renew(SILENCE);
                 }
                 Ok(false) => {}
                 Err(why) => return why,
@@ -132,20 +133,36 @@
     }
 }
 
-/// Waits for it, and tells the driver if it is silent for too long meanwhile.
-async fn or_silent<T>(
-    wanted: &mut (impl Future<Output = T> + Unpin),
-    silent: Pin<&mut Sleep>,
-    driver: &RefCell<Driver>,
-    number: u64,
-) -> T {
-    // What is there goes before what the clock says.
-    tokio::select! {
-        biased;
-        done = &mut *wanted => return done,
-        () = silent, if !silent.is_elapsed() => driver.borrow_mut().list_silent(number),
+/// How long a watch may be silent, and whether that has been told.
+struct Patience {
+    until: Pin<Box<Sleep>>,
+    told: bool,
+}
+
+impl Patience {
+    fn new(most: Duration) -> Self {
+        Patience { until: Box::pin(sleep(most)), told: false }
+    }
+
+    fn renew(&mut self, most: Duration) {
+        self.until.as_mut().reset(Instant::now() + most);
+        self.told = false;
+    }
+
+    /// Waits for what is wanted, and tells once if that is silent for too long meanwhile.
+    async fn wait<T>(&mut self, wanted: &mut (impl Future<Output = T> + Unpin), tell: impl FnOnce()) -> T {
+        // What is there goes before what the clock says. Guards against a time that runs out just then: it is over, and
+        // would be told no more if the clock were asked whether to look at it.
+        tokio::select! {
+            biased;
+            done = &mut *wanted => return done,
+            () = self.until.as_mut(), if !self.told => {
+                self.told = true;
+                tell();
+            }
+        }
+        wanted.await
     }
-    wanted.await
 }
 
 /// Takes what a watch sends apart: objects, each on one line or indented over several, with empty lines between them.
--- a/tests/unit/discovery.rs
+++ b/tests/unit/discovery.rs
@@ -38,3 +38,24 @@
         assert_eq!(lives(text), Ok(lived), "{text}");
     }
 }
+
+/// Guards against silence that is never told because a piece came in the very turn in which it was due.
+#[tokio::test(start_paused = true)]
+async fn silence_is_told_though_something_came_when_it_was_due() {
+    let told = std::cell::Cell::new(0);
+    let tell = || told.set(told.get() + 1);
+    let second = Duration::from_secs(1);
+    let mut patience = Patience::new(2 * second);
+    patience.wait(&mut pin!(sleep(second)), tell).await;
+    tokio::time::advance(2 * second).await;
+    patience.wait(&mut std::future::ready(()), tell).await;
+    assert_eq!(told.get(), 0);
+    // Nothing more comes for a while.
+    patience.wait(&mut pin!(sleep(second)), tell).await;
+    assert_eq!(told.get(), 1);
+    patience.wait(&mut pin!(sleep(second)), tell).await;
+    assert_eq!(told.get(), 1, "once is enough");
+    patience.renew(2 * second);
+    patience.wait(&mut pin!(sleep(3 * second)), tell).await;
+    assert_eq!(told.get(), 2);
+}
