--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -231,6 +231,25 @@
     stream: TcpStream,
 }
 
+/// Discovery that is away: its address refuses connections.
+pub struct Away {
+    pub address: SocketAddr,
+    socket: Socket,
+}
+
+impl Away {
+    pub fn start() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        Away { address: socket.local_addr().unwrap().as_socket().unwrap(), socket }
+    }
+
+    pub fn back(self) -> DiscoveryPeer {
+        self.socket.listen(128).unwrap();
+        DiscoveryPeer::on(self.socket.into())
+    }
+}
+
 impl DiscoveryPeer {
     pub fn start() -> Self {
         Self::on(TcpListener::bind("127.0.0.1:0").unwrap())
@@ -516,6 +535,10 @@
         (Self::start(&config, "127.0.0.1:0"), discovery)
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn client(&self) -> Client {
         Client::connect(self.address).unwrap()
     }
@@ -640,6 +663,11 @@
         move |text| out.write_all(text.as_bytes())
     }
 
+    /// Takes so many bytes, whatever they are.
+    pub fn take(&mut self, count: usize) {
+        self.input.read_exact(&mut vec![0; count]).unwrap();
+    }
+
     /// What is left until the connection ends.
     pub fn rest(&mut self) -> Vec<u8> {
         let mut rest = Vec::new();
