Test that a discovery slower than watches are opened is heard

Where lists are pushed, each watch was given up 4.5 s after it was opened, the first among them, so that a discovery that takes 8 s was never heard.

--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -7,11 +7,21 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::mpsc::channel;
-use std::thread;
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
 
 const ID: &str = "Request-Id: {id}\r\n";
 const MODES: [&str; 2] = ["ask", "push"];
 
+/// Waits until this holds; whatever it waits for has to come.
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begin = Instant::now();
+    while !holds() {
+        assert!(begin.elapsed() < PATIENCE, "{what}");
+        sleep(Duration::from_millis(5));
+    }
+}
+
 fn settings(known: &[String], discovery: SocketAddr, mode: &str) -> String {
     let mode = format!("\"discovery\":\"{mode}\"");
     config(&list(5, true, known), discovery, 256).replace("\"discovery\":\"ask\"", &mode)
@@ -69,6 +79,18 @@
     }
 }
 
+/// Guards against giving up each watch before a slow discovery gets to it: the first one is kept.
+#[test]
+fn a_discovery_that_is_slower_than_watches_are_opened_is_heard() {
+    let (upstream, discovery) = (Upstream::start(Reply::Ok), DiscoveryPeer::start());
+    let program = Program::start(&settings(&[], discovery.address, "push"), "127.0.0.1:0");
+    let mut watches: Vec<_> = (0..6).map(|_| discovery.next()).collect();
+    assert!(watches[0].is_open(), "it is waited for");
+    watches[0].line(&list(6, true, &[endpoint("u0", upstream.address, "in_service")]));
+    until("the list has come", || health(&program) == 200);
+    assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
+}
+
 /// Guards against a process that waits for another beside it which says nothing, or whose word can't be used.
 #[test]
 fn neither_a_silent_process_nor_a_broken_state_keeps_it_from_being_ready() {
