--- a/src/balance.rs
+++ b/src/balance.rs
@@ -179,10 +179,10 @@
     fn on_list(&mut self, scope: ListScope, entries: Vec<UpstreamEntry>, actions: &mut Vec<Action>) {
         if self.cfg.discovery == Discovery::Ask && matches!(scope, ListScope::Cached | ListScope::Failed) {
             // Guards against a stampede on discovery: each balancer asks at a moment of its own, later and
-            // later after failures, but well within the time after which it counts as told.
+            // later after failures, but so soon that several fail before all counts as told.
             self.list_failures = if scope == ListScope::Failed { self.list_failures + 1 } else { 0 };
             let wait = self.cfg.rules.ask_within * f64::from(1 << self.list_failures.min(3));
-            let after = self.rng.random_range(0.0..wait.min(self.cfg.rules.told) / 4.0) + self.cfg.tick;
+            let after = self.rng.random_range(0.0..wait.min(self.cfg.rules.told / 2.5) / 4.0) + self.cfg.tick;
             actions.push(Action::SetTimer { after, token: SUBSCRIBE });
             let text = format!("discovery failed, asked again in {after:.1} s");
             actions.extend((scope == ListScope::Failed).then_some(Action::Log { upstream: None, text }));
@@ -447,7 +447,7 @@
                     DedupScope::Zone => first.to.zone == u.entry.zone,
                     DedupScope::Cell => first.to.cell == u.entry.cell,
                 };
-                in_group && self.now + self.cfg.tick < first.sent + class.dedup_window
+                in_group && call.window_left(class, self.now).is_some_and(|left| left > self.cfg.tick)
             }
         }
     }
@@ -463,14 +463,14 @@
         self.back.entry(upstream).and_modify(|(_, owed)| *owed = false);
         u.learned.allowance = (u.learned.allowance - 1.0).max(0.0);
         call.held_at = None;
+        let within = call.window_left(&self.cfg.classes[call.class], sent);
         call.tries.push(Try { to: u.entry.clone(), sent, outcome: None });
-        let whole = if call.streamed { f64::INFINITY } else { sent };
-        u.flights.push(Flight { id, class: call.class, sent, whole, usual, idle });
+        let (class, whole) = (call.class, if call.streamed { f64::INFINITY } else { sent });
+        u.flights.push(Flight { id, class, sent, whole, usual, idle });
         self.turns.turn = self.turns.turn.max(u.due);
         u.due = self.turns.turn + pace;
-        actions.push(Action::Send { id, upstream, timeout: None });
-        let repeatable = self.cfg.classes[call.class].effect != Effect::Unsafe;
-        if repeatable && self.now + SILENCE * usual < call.deadline {
+        actions.push(Action::Send { id, upstream, timeout: None, within });
+        if self.cfg.classes[class].effect != Effect::Unsafe && sent + SILENCE * usual < call.deadline {
             self.wake_me(id, SILENCE * usual, actions);
         }
     }
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -14,9 +14,11 @@
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::task::yield_now;
+use tokio::time::{sleep, Instant};
 
 /// Descriptors that are no sockets of ours: standard streams, the event loop, the listener, signals.
 const OTHER_FILES: usize = 16;
@@ -29,8 +31,11 @@
 const ADMIN: usize = 12;
 /// So much of what came last from a client is kept: a head as it came, as a rule.
 const RECENT: usize = 8 << 10;
-/// So much is read ahead of one connection: clients send one request at a time,
-const AHEAD: usize = 16 << 10;
+/// So much is read ahead of one connection: clients may send many requests at once,
+const AHEAD: usize = 512 << 10;
+/// but only this much where all connections together hold more than the other: others send what nobody is to read.
+const LITTLE_AHEAD: usize = 16 << 10;
+const MOST_AHEAD: usize = 2 << 20;
 /// and so many pieces of it at a time, so that others have their turn.
 const MOST_PIECES: usize = 64;
 /// This part of what is left is for upstreams alone.
@@ -61,13 +66,15 @@
     most: Cell<usize>,
     most_clients: Cell<usize>,
     most_admin: usize,
+    /// Bytes that were read ahead of all connections.
+    ahead: Cell<usize>,
 }
 
 impl Budget {
     pub fn new(descriptors: usize, admin: bool) -> Rc<Self> {
-        let (clients, others, discovery, admin_open, most, most_clients) = Default::default();
-        let most_admin = if admin { ADMIN } else { 0 };
-        let budget = Budget { clients, others, discovery, admin: admin_open, most, most_clients, most_admin };
+        let (clients, others, discovery, admin_open, most, most_clients, ahead) = Default::default();
+        let (most_admin, admin) = (if admin { ADMIN } else { 0 }, admin_open);
+        let budget = Budget { clients, others, discovery, admin, most, most_clients, most_admin, ahead };
         budget.limit(descriptors);
         Rc::new(budget)
     }
@@ -145,6 +152,7 @@
 struct Inner {
     stream: TcpStream,
     read: Cell<usize>,
+    last_read: Cell<Instant>,
     /// Bytes that may be read in all; more breaks the connection.
     most_read: Cell<usize>,
     written: Cell<usize>,
@@ -168,7 +176,14 @@
     /// For whom it carries a request, and with how many bytes written in all that is whole.
     client: RefCell<Peer>,
     end: Cell<usize>,
-    _permit: Permit,
+    permit: Permit,
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        let all = &self.permit.budget.ahead;
+        all.set(all.get() - self.ahead.borrow().len());
+    }
 }
 
 impl Socket {
@@ -194,11 +209,12 @@
         let (written, wants_quiet) = (Cell::new(0), Cell::new(false));
         let (asking, blocked, ahead, cut, reads_ahead) = Default::default();
         let (client, end) = (RefCell::default(), Cell::new(usize::MAX));
-        let (last_written, recent, whole) =
-            (Cell::new(Instant::now()), RefCell::default(), RefCell::default());
+        let (last_read, last_written) = (Cell::new(Instant::now()), Cell::new(Instant::now()));
+        let (recent, whole) = Default::default();
         Socket(Rc::new(Inner {
             stream,
             read,
+            last_read,
             most_read,
             written,
             last_written,
@@ -213,7 +229,7 @@
             wants_quiet,
             client,
             end,
-            _permit: permit,
+            permit,
         }))
     }
 
@@ -238,6 +254,11 @@
         self.0.written.get()
     }
 
+    /// When bytes were last taken from the kernel.
+    pub fn last_read(&self) -> Instant {
+        self.0.last_read.get()
+    }
+
     /// A new exchange begins for this client: nothing may have come before its first byte is written, and so many
     /// bytes may come until more is allowed.
     pub fn begin(&self, client: Peer, most_read: usize) {
@@ -333,9 +354,13 @@
             match read {
                 Ok(0) => return true,
                 Ok(count) => {
+                    self.0.last_read.set(Instant::now());
                     let mut ahead = self.0.ahead.borrow_mut();
-                    let room = AHEAD.saturating_sub(ahead.len());
+                    let all = &self.0.permit.budget.ahead;
+                    let most = if all.get() < MOST_AHEAD { AHEAD } else { LITTLE_AHEAD };
+                    let room = most.saturating_sub(ahead.len()) * usize::from(!self.0.cut.get());
                     ahead.extend(&bytes[..count.min(room)]);
+                    all.set(all.get() + count.min(room));
                     self.0.cut.set(self.0.cut.get() || count > room);
                 }
                 Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
@@ -344,6 +369,26 @@
         false
     }
 
+    /// Ends the connection, and waits until the peer has closed it too if bytes of it lie unread; looks so often. Guards
+    /// against a close over these: it resets the connection, and what the peer has not taken yet is lost. They stay
+    /// unread, as a request among them is to be sent again elsewhere; but what is left of one that was `turned_away` is
+    /// read to no end.
+    pub async fn outlast(&self, turned_away: bool, look: Duration) {
+        // It may have been ended before, or have broken.
+        let _ = SockRef::from(&self.0.stream).shutdown(Shutdown::Write);
+        self.read_ahead(turned_away);
+        if !turned_away && !self.has_unread() {
+            return;
+        }
+        while !self.has_left() {
+            self.stirs().await;
+            match turned_away {
+                true => yield_now().await,
+                false => sleep(look).await,
+            }
+        }
+    }
+
     /// True if the peer has sent something that is still unread, closed or not. Asks the kernel, as below.
     pub fn has_unread(&self) -> bool {
         let peeked = SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()]);
@@ -388,7 +433,10 @@
                     ready!(self.0.stream.poll_read_ready(cx))?;
                     match self.0.stream.try_read(&mut bytes[..most]) {
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
-                        read => read?,
+                        read => {
+                            self.0.last_read.set(Instant::now());
+                            read?
+                        }
                     }
                 }
             };
@@ -415,6 +463,8 @@
             return self.0.cut.get().then_some(0);
         }
         let count = ahead.len().min(bytes.len());
+        let all = &self.0.permit.budget.ahead;
+        all.set(all.get() - count);
         ahead.drain(..count).zip(bytes).for_each(|(from, to)| *to = from);
         Some(count)
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -79,6 +79,26 @@
     }
 }
 
+/// Guards against a repeat that goes out inside the window and gets there after it.
+#[test]
+fn a_keyed_repeat_is_told_how_long_it_may_take_to_be_written() {
+    let within = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Send { within, .. } => Some(*within),
+            _ => None,
+        })
+    };
+    for (effect, limited) in KEYED.map(|keyed| (keyed, true)).into_iter().chain([(Effect::Safe, false)]) {
+        let mut rig = Rig::with_classes(&[effect], 8);
+        assert_eq!(within(&rig.on(request(1, 0, 5.0))), Some(None));
+        rig.now += 0.25;
+        assert_eq!(within(&rig.on(end(1, 0, Outcome::Reset))), Some(limited.then_some(0.75)), "{effect:?}");
+        // One that never ran may come as late as it likes.
+        assert_eq!(within(&rig.on(request(2, 0, 5.0))), Some(None));
+        assert_eq!(within(&rig.on(end(2, 0, Outcome::Rejected))), Some(None));
+    }
+}
+
 #[test]
 fn a_second_copy_goes_out_only_where_allowed() {
     for duplicates in [true, false] {
@@ -286,7 +306,8 @@
     assert!(waits[40] - waits[10] > 1.0, "they ask at moments of their own");
 }
 
-/// Guards against news that count as told before a balancer whose watch broke has asked again, and once more.
+/// Guards against news that count as told before a balancer has asked, or one whose watch broke has asked again and
+/// once more.
 #[test]
 fn discovery_is_asked_again_before_its_news_count_as_told() {
     let mut settings = Settings { discovery: Discovery::Ask, ..Settings::simple() };
@@ -295,9 +316,11 @@
         let mut balancer = Balancer::new(settings.clone(), seed, 0.0).unwrap();
         for now in 0..5 {
             let mut actions = Vec::new();
-            balancer.handle(now.into(), Event::Upstreams(ListScope::Failed, Vec::new()), &mut actions);
+            let scope = if now == 0 { ListScope::Cached } else { ListScope::Failed };
+            balancer.handle(now.into(), Event::Upstreams(scope, Vec::new()), &mut actions);
             let Action::SetTimer { after, .. } = actions[0] else { panic!("{actions:?}") };
-            assert!(after < 2.0, "{after}");
+            // So short that a silence, a call that waits and two that fail have room beside it.
+            assert!(after < 0.1 * settings.rules.told + 0.01, "{after}");
         }
     }
 }
