Let two tests wait for what they rely on, as a busy machine brings it later

Cause: a_connection_that_the_upstream_closed_is_not_used_again took a close that had returned for an end that had arrived; the kernel may bring it later.

Change: the first waits until the machine's list of connections says that the other side has the end; the second asks for health first, which is answered after the turn in which the request begins. What they assert is unchanged.

--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -105,6 +105,7 @@
     for _ in 0..5 {
         assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
         upstream.closed.recv_timeout(PATIENCE).unwrap();
+        farewell(upstream.address);
     }
     assert_eq!(upstream.seen.try_iter().count(), 5);
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -78,7 +78,9 @@
     let mut client = program.client();
     client.write("POST /pay HTTP/1.1\r\nHost: b\r\nRequest-Id: c001\r\nContent-Length: 200000\r\n\r\n");
     client.write(&"x".repeat(150_000));
-    until("it has begun", || old.connections.load(Ordering::SeqCst) == 1);
+    until("its connection is up", || old.connections.load(Ordering::SeqCst) == 1);
+    // Whoever asks now is answered after it has begun.
+    assert_eq!(program.client().ask("/healthz", "", "").status(), 200);
     let mut watch = discovery.next();
     let draining = ("u0", old.address, "terminating");
     watch.line(&change(6, &[draining, ("u1", new.address, "in_service")]));
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// No step of a test takes longer, also on a busy machine; whoever waits for so long has failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -323,6 +323,22 @@
     )
 }
 
+/// Waits until the other side has the end of all connections that were closed at this address: a busy kernel may bring
+/// it later than the close returns.
+pub fn farewell(address: SocketAddr) {
+    let local = format!(":{:04X}", address.port());
+    // Established, or its end is on its way.
+    let open = |line: &str| {
+        let mut parts = line.split_whitespace().skip(1);
+        parts.next().is_some_and(|at| at.ends_with(&local)) && matches!(parts.nth(1), Some("01" | "04"))
+    };
+    let begun = Instant::now();
+    while std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(open) {
+        assert!(begun.elapsed() < PATIENCE, "it ends");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// An address that never lets a connection come up: its queue of connections is full and nobody takes them.
 pub fn unreachable() -> SocketAddr {
     let Door { address, listener, waiting } = Door::shut();
