Ask at once on each connection that needs room from those that asked for health

Cause: connections_that_only_asked_for_health_make_room_for_requests failed once at a load of about 42. It opened 40 connections, and only then asked on one after the other. A silent connection is closed 2.7 s after it came, as it has to be, so the verdict hung on 40 exchanges being done by then.

Change: each of the 40 asks as soon as it is up, and all stay open. In place of the wait of the later ones, all 40 are asked again at the end, so that none may have been closed for the sake of another: that is as strict, and the bound is the 10 s of an idle connection.

--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -200,10 +200,13 @@
         .collect();
     // Long enough that each may go; more does no harm.
     sleep(Duration::from_millis(60));
-    let mut clients: Vec<_> = (0..40).map(|_| program.client()).collect();
-    for client in &mut clients {
+    let ask = |mut client: Client| {
         assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
-    }
+        client
+    };
+    let clients: Vec<_> = (0..40).map(|_| ask(program.client())).collect();
+    // Nor is one of them closed for the sake of another.
+    clients.into_iter().map(ask).for_each(drop);
     drop(healthy);
 }
 
