--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -76,6 +76,9 @@
     Renew { caller: usize },
 }
 
+/// Where to, when, and whether it is out.
+type Attempt = (u64, f64, bool);
+
 struct Sim {
     world: World,
     settings: Settings,
@@ -87,8 +90,8 @@
     /// What each balancer has been told of each upstream.
     told: Vec<BTreeMap<u64, UpstreamEntry>>,
     servers: BTreeMap<u64, Server>,
-    /// The client's tries before each call, and its attempts: where to, when, and whether it is out.
-    calls: BTreeMap<u64, (u32, Vec<(u64, f64, bool)>, f64)>,
+    /// The client's tries before each call, its attempts, and when its time is up.
+    calls: BTreeMap<u64, (u32, Vec<Attempt>, f64)>,
     next: u64,
     asked: f64,
     served: f64,
@@ -244,7 +247,7 @@
                     }
                 }
                 What::Tell { caller, entries } => {
-                    entries.iter().for_each(|e| drop(self.told[caller].insert(e.id.0, e.clone())));
+                    self.told[caller].extend(entries.iter().map(|e| (e.id.0, e.clone())));
                     let scope = if self.now == 0.0 { ListScope::Full } else { ListScope::Delta };
                     self.handle(caller, Event::Upstreams(scope, entries));
                 }
