Let discovery recover: ask later only after a call that waited in turn

Ruled out: a single balancer's wait. Unbounded waits: 10 sends and no refusal after 13 s. So calls that are refused after their turn cost discovery as much as others, and the fleet that asks again soon keeps it overrun: a metastable failure. At fault: the bounds in on_list.

Change: after a call that waited in turn, or a lost watch, up to 3.7 s are waited, an eighth of it at the least; after one that failed at once, up to 0.6 s as before; a new process asks within 3 s, or a quarter of the interval.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -5,7 +5,7 @@
 //! a finishing call frees a slot, and is given up when its hold time runs out. In order of a call's life.
 
 use crate::interface::*;
-use crate::state::{Call, Flight, Health, IdleTrust, Knowledge, Learned, Rate, Try, Turns, Upstream, Usual};
+use crate::state::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
@@ -56,6 +56,11 @@
 /// Turns by which a heavy call is taken for more than one, and usual latencies that its loss counts for, at
 /// the most.
 const MOST_EXCESS: f64 = 4.0;
+/// Longest waits for a call to discovery, over the time after which its news count as told: for the first
+/// one, after one that failed as soon as this, and after one that waited in turn.
+const FIRST: f64 = 0.5;
+const SOON: f64 = 0.1;
+const LATER: f64 = 0.62;
 /// Timer for the subscription to the list; requests use their id, which is smaller.
 const SUBSCRIBE: u64 = u64::MAX >> 1;
 
@@ -77,7 +82,7 @@
     rates: Vec<Rate>,
     retries: f64,
     strain: f64,
-    list_failures: i32,
+    asking: Asking,
     idle: IdleTrust,
 }
 
@@ -100,7 +105,7 @@
             back: BTreeMap::new(),
             retries: 1.0,
             strain: 0.0,
-            list_failures: 0,
+            asking: Asking { failures: 0, at: f64::INFINITY },
             idle: IdleTrust { trust: most, at: now, doubt: 0.0, doubted: most },
             cfg: settings,
         })
@@ -117,7 +122,7 @@
             Event::Started(id) => self.calls.get_mut(&id).into_iter().for_each(|c| c.concluded = true),
             Event::Outcome(end) => self.on_outcome(end, actions),
             Event::ClientGone(id) => self.conclude(id, actions),
-            Event::Timer(SUBSCRIBE) => actions.push(Action::Subscribe),
+            Event::Timer(SUBSCRIBE) => actions.push(self.asking.ask(self.now)),
             Event::Timer(token) => self.on_timer(RequestId(token), actions),
         }
     }
@@ -178,14 +183,17 @@
 
     fn on_list(&mut self, scope: ListScope, entries: Vec<UpstreamEntry>, actions: &mut Vec<Action>) {
         if self.cfg.discovery == Discovery::Ask && matches!(scope, ListScope::Cached | ListScope::Failed) {
-            // Guards against a stampede on discovery: each balancer asks at a moment of its own, later and
-            // later after failures, but so soon that several fail before all counts as told.
-            self.list_failures = if scope == ListScope::Failed { self.list_failures + 1 } else { 0 };
-            let wait = self.cfg.rules.ask_within * f64::from(1 << self.list_failures.min(3));
-            let after = self.rng.random_range(0.0..wait.min(self.cfg.rules.told / 2.5) / 4.0) + self.cfg.tick;
+            // Guards against a stampede on discovery, where calls refused after their turn cost as much: each
+            // balancer asks at a moment of its own, and after such a call or a lost watch later than else.
+            let (failed, told) = (scope == ListScope::Failed, self.cfg.rules.told);
+            let late = failed && self.now - self.asking.at > SOON * told;
+            let part = if late { LATER } else { [FIRST, SOON][usize::from(failed)] };
+            let wait = (self.cfg.rules.ask_within / 4.0 * self.asking.back_off(failed)).min(part * told);
+            let least = if late { wait / 8.0 } else { 0.0 };
+            let after = self.rng.random_range(least..wait) + self.cfg.tick;
             actions.push(Action::SetTimer { after, token: SUBSCRIBE });
             let text = format!("discovery failed, asked again in {after:.1} s");
-            actions.extend((scope == ListScope::Failed).then_some(Action::Log { upstream: None, text }));
+            actions.extend(failed.then_some(Action::Log { upstream: None, text }));
         }
         if matches!(scope, ListScope::Full | ListScope::Cached) {
             self.upstreams.values_mut().for_each(|u| u.entry.state = UpstreamState::Off);
