--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -1,7 +1,7 @@
 //! Attempts at upstreams, and the idle connections that they leave behind.
 
 use crate::bodies::{Download, Memory, Sending, Upload, HELD_BACK, LARGEST_BODY, READ_AHEAD};
-use crate::socket::{Budget, Purpose, Socket};
+use crate::socket::{Budget, Peer, Purpose, Socket};
 use crate::stats::Stats;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
@@ -13,6 +13,7 @@
 use ryequay::{Outcome, UpstreamId};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,6 +60,7 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub upload: Rc<Upload>,
+    pub client: Peer,
     /// Its client waits for so long from its last byte on.
     pub wait: Duration,
     /// It is to be settled by then in any case, if this is said of the process.
@@ -214,6 +216,8 @@
     pub address: SocketAddr,
     pub request: Rc<Forward>,
     pub until: Option<Instant>,
+    /// Its last byte must be written by then, or never.
+    pub whole_by: Option<Instant>,
     /// What is held back of a deadline, so that its client hears in time.
     pub margin: Duration,
     /// Set when the first byte is about to be written: for how long the connection had been idle.
@@ -244,6 +248,18 @@
         }
     }
 
+    /// Ends when it may not be written any more and has not been. Guards against a repeat on a connection that came up
+    /// late, or that takes bytes slowly, when upstreams no more know it for one.
+    async fn too_late(&self, handed_over: impl Fn() -> bool) {
+        let Some(by) = self.whole_by else { return pending().await };
+        while by > Instant::now() {
+            sleep_until(by).await;
+        }
+        if handed_over() {
+            pending().await
+        }
+    }
+
     /// Runs it to its end. "Never ran" is said only where the last byte can't have been handed over.
     pub async fn run(self) -> Ended {
         loop {
@@ -251,9 +267,11 @@
             let fresh = kept.is_none();
             let (socket, idle) = match kept {
                 Some(kept) => kept,
+                None if self.request.client.has_left() => return Err(Outcome::NotSent),
                 None => {
                     let socket = tokio::select! {
                         biased;
+                        () = self.too_late(|| false) => return Err(Outcome::NotSent),
                         socket = self.pool.connect(self.address) => socket?,
                         () = self.expired() => return Err(Outcome::ConnectFailed),
                     };
@@ -264,12 +282,14 @@
             self.begun.set(Some(idle));
             // How many bytes the request has, once that is known.
             let whole = Rc::new(Cell::new(usize::MAX));
+            let handed_over = || socket.written() - written >= whole.get();
             let ended = tokio::select! {
                 biased;
+                () = self.too_late(handed_over) => return Err(Outcome::NotSent),
                 ended = self.exchange(&socket, whole.clone()) => Some(ended),
                 () = self.expired() => None,
             };
-            let handed_over = socket.written() - written >= whole.get();
+            let handed_over = handed_over();
             return match ended {
                 Some(Ok((answer, reusable))) if handed_over => {
                     if reusable {
@@ -279,6 +299,7 @@
                 }
                 // Guards against blaming the upstream for a client that broke off.
                 Some(_) if self.request.upload.broken().is_some() => Err(Outcome::NotSent),
+                Some(_) if !handed_over && self.request.client.has_left() => Err(Outcome::NotSent),
                 // Guards against an answer that was there before its request.
                 Some(Ok((answer, _))) => answer.and(Err(Outcome::ConnectFailed)),
                 // A kept connection that was found dead in time tells nothing of the upstream.
@@ -317,7 +338,7 @@
     /// bytes behind an answer that stay in its buffer, and would be the next answer's beginning: only a socket
     /// from which nothing more has come is used again.
     async fn exchange(&self, socket: &Socket, whole: Rc<Cell<usize>>) -> hyper::Result<(Ended, bool)> {
-        socket.begin(LARGEST_PREFACE);
+        socket.begin(self.request.client.clone(), LARGEST_PREFACE);
         let begin = socket.written();
         let message = self.message(|head| {
             let (socket, stats) = (socket.clone(), self.pool.stats.clone());
