--- a/src/balance.rs
+++ b/src/balance.rs
@@ -42,6 +42,9 @@
 /// An outlier is ejected for this many usual latencies, doubled by each failure up to `MOST_FAILURES`.
 const EJECTION_TIME: f64 = 4.0;
 const MOST_FAILURES: i32 = 4;
+/// Part of a call that slow start counts where answers do not keep up with calls. Guards against standing
+/// still where all upstreams are cold and none has answered yet.
+const UNANSWERED: f64 = 0.1;
 /// An upstream whose share of errors in a class is by so much larger than that of its peers fails by itself.
 const OUTLIER: f64 = 0.3;
 /// An upstream is believed to serve until seen otherwise, as if it had answered so many calls.
@@ -53,13 +56,6 @@
 /// Turns by which a heavy call is taken for more than one, and usual latencies that its loss counts for, at
 /// the most.
 const MOST_EXCESS: f64 = 4.0;
-/// Doubt about idle connections is cleared at this rate by answers on old ones. A reset costs a call, a new
-/// connection a small part of one: more resets than this share of the answers are too many.
-const CLEARED: f64 = 0.04;
-/// Two resets with few answers between them.
-const ENOUGH_DOUBT: f64 = 1.5;
-/// Trust in idle connections doubles again in this time, in seconds.
-const TRUST_REGAINED: f64 = 30.0;
 /// Timer for the subscription to the list; requests use their id, which is smaller.
 const SUBSCRIBE: u64 = u64::MAX >> 1;
 
@@ -75,8 +71,8 @@
     unplaced: VecDeque<RequestId>,
     /// Upstreams that the operators have left out, and since when.
     out: BTreeMap<UpstreamId, f64>,
-    /// Those put back that have had no call since.
-    back: Vec<UpstreamId>,
+    /// Those put back: when, and whether they have had no call since.
+    back: BTreeMap<UpstreamId, (f64, bool)>,
     usual: Vec<Usual>,
     rates: Vec<Rate>,
     retries: f64,
@@ -101,7 +97,7 @@
             calls: BTreeMap::new(),
             unplaced: VecDeque::new(),
             out: BTreeMap::new(),
-            back: Vec::new(),
+            back: BTreeMap::new(),
             retries: 1.0,
             strain: 0.0,
             list_failures: 0,
@@ -217,8 +213,8 @@
             false => self.out.remove(&upstream),
         };
         let Some(left) = known else { return };
-        self.back.retain(|back| *back != upstream);
-        self.back.extend((!out).then_some(upstream));
+        self.back.remove(&upstream);
+        self.back.extend((!out).then_some((upstream, (self.now, true))));
         let Some(u) = self.upstreams.get_mut(&upstream).filter(|u| u.out != out) else { return };
         u.out = out;
         if !out {
@@ -326,7 +322,8 @@
     /// gone back to fewer upstreams meanwhile.
     fn take_turn(&self, id: RequestId) -> Option<UpstreamId> {
         let panic = self.panic(self.calls[&id].class);
-        let mut back = self.back.iter().filter_map(|back| self.upstreams.get(back));
+        let owed = self.back.iter().filter(|(_, (_, owed))| *owed);
+        let mut back = owed.filter_map(|(id, _)| self.upstreams.get(id));
         let back = back.find(|u| self.ready(u, id, panic)).map(|u| u.entry.id);
         back.or_else(|| self.first_due(|u| self.ready(u, id, panic).then_some(self.excess(id))))
     }
@@ -342,7 +339,7 @@
     /// The upstream in turn of those that may take part; calls ahead of it there count as turns.
     fn first_due(&self, ahead: impl Fn(&Upstream) -> Option<f64>) -> Option<UpstreamId> {
         let due = |u: &Upstream| Some(u.due.max(self.turns.turn) + self.pace(u) * ahead(u)?);
-        let within = self.turns.order[..self.turns.subset as usize].iter().map(|id| &self.upstreams[id]);
+        let within = self.turns.split().0.iter().map(|id| &self.upstreams[id]);
         Some(within.filter_map(|u| Some((due(u)?, u.entry.id))).min_by(|a, b| a.0.total_cmp(&b.0))?.1)
     }
 
@@ -379,15 +376,19 @@
     /// Guards against pushing over a cold upstream, also when the others are down: each call that comes
     /// entitles each upstream of the subset to an even part of a turn, a cold one to its warm share of it.
     /// None is saved up outside, lest many callers whose subset widens together spend it at once; but for
-    /// one that operators have put back, for which each call counts as one over the whole list.
+    /// one that operators have put back, for which each call counts as one over the whole list. The
+    /// fleet outside gives it as much as its own callers then, so while it may be cold, each side gives half.
     fn slow_start(&mut self) {
-        let (within, beyond) = self.turns.order.split_at(self.turns.subset as usize);
-        let back =
-            beyond.iter().filter(|id| self.back.contains(id)).map(|id| (id, self.turns.order.len() as f64));
-        for (id, among) in within.iter().map(|id| (id, self.turns.subset)).chain(back) {
+        let counted = self.turns.count(UNANSWERED);
+        let (within, beyond) = self.turns.split();
+        let all = self.turns.order.len() as f64;
+        let owed = beyond.iter().filter(|id| self.back.get(id).is_some_and(|(_, owed)| *owed));
+        let owed = owed.map(|id| (id, all));
+        for (id, among) in within.iter().map(|id| (id, self.turns.subset)).chain(owed) {
+            let returned = self.back.get(id).is_some_and(|(at, _)| self.now - at < self.cfg.rules.cold);
+            let sides = if returned && self.turns.least_subset < all { 2.0 } else { 1.0 };
             let u = self.upstreams.get_mut(id).expect("listed");
-            let share = u.warm_share(&self.cfg.rules, self.now);
-            u.learned.allowance = (u.learned.allowance + share / among).min(1.0);
+            u.allow(counted * u.warm_share(&self.cfg.rules, self.now) / among / sides);
         }
     }
 
@@ -416,7 +417,7 @@
     /// Guards against leaving out one upstream after the other where calls are lost on the way to any of
     /// them: a single loss there says nothing of the upstream. Could hurt where all but one hang in turn.
     fn loses_as_others(&self, u: &Upstream) -> bool {
-        let within = self.turns.order[..self.turns.subset as usize].iter().filter(|id| **id != u.entry.id);
+        let within = self.turns.split().0.iter().filter(|id| **id != u.entry.id);
         let shares = within.map(|id| self.upstreams[id].learned.losses);
         let (sum, peers) = shares.fold((0.0, 0.0), |(sum, peers), share| (sum + share, peers + 1.0));
         sum > 0.0 && u.learned.losses <= 2.0 * sum / peers
@@ -459,7 +460,7 @@
         let idle = self.open_connection(upstream, actions);
         let call = self.calls.get_mut(&id).expect("a call being sent is known");
         let u = self.upstreams.get_mut(&upstream).expect("a chosen upstream is listed");
-        self.back.retain(|back| *back != upstream);
+        self.back.entry(upstream).and_modify(|(_, owed)| *owed = false);
         u.learned.allowance = (u.learned.allowance - 1.0).max(0.0);
         call.held_at = None;
         let within = call.window_left(&self.cfg.classes[call.class], sent);
@@ -487,8 +488,7 @@
     /// are closed before use. Returns for how long the one to be used was idle. Costs handshakes, if it errs.
     fn open_connection(&mut self, upstream: UpstreamId, actions: &mut Vec<Action>) -> f64 {
         let most = self.cfg.limits.conn_idle;
-        self.idle.trust = (self.idle.trust * ((self.now - self.idle.at) / TRUST_REGAINED).exp2()).min(most);
-        self.idle.at = self.now;
+        self.idle.regain(self.now, most);
         let idle = &mut self.upstreams.get_mut(&upstream).expect("a chosen upstream is listed").idle;
         idle.retain(|since| self.now - since < most);
         if idle.first().is_some_and(|since| self.now - since > self.idle.trust) {
@@ -598,7 +598,6 @@
         // A reset on an idle connection, or silence on one and then an answer on a fresher one, speaks for
         // connections dropped while idle; an answer on one as old speaks against it. So does a reset on one
         // that was new, or idle for no longer than it is quiet during a call: connections break anyway.
-        let most = self.cfg.limits.conn_idle;
         let idled = idle > flight.usual;
         // One that comes before any work could be done.
         let broken = end.outcome == Reset && end.elapsed < GAIN * flight.usual;
@@ -607,17 +606,7 @@
             false if answer && idle < u.suspect / 2.0 => u.suspect,
             _ => 0.0,
         };
-        if old > 0.0 {
-            (self.idle.doubt, self.idle.doubted) = (self.idle.doubt + 1.0, self.idle.doubted.min(old / 2.0));
-        } else if broken {
-            (self.idle.doubt, self.idle.trust) = ((self.idle.doubt - 1.0).max(0.0), most);
-        } else if answer && idle > self.idle.doubted {
-            self.idle.doubt = (self.idle.doubt - CLEARED).max(0.0);
-        }
-        if self.idle.doubt >= ENOUGH_DOUBT {
-            self.idle.trust = self.idle.trust.min(self.idle.doubted);
-            (self.idle.doubt, self.idle.doubted) = (0.0, most);
-        }
+        self.idle.weigh(old, broken, if answer { idle } else { 0.0 }, self.cfg.limits.conn_idle);
         u.suspect = if lost && idled && end.outcome != Reset { idle } else { 0.0 };
         // A connection that may have been dropped while idle says nothing of the upstream.
         let stale = lost && idle > self.idle.trust || end.outcome == Reset && idle > 0.0;
@@ -681,6 +670,9 @@
         }
         u.width = u.width.max(0.5 / self.turns.slice);
         u.full_until = u.full_until.max(self.now + end.elapsed * (1.0 / self.turns.pass - 1.0));
+        if answer && end.outcome != Rejected {
+            self.turns.gain_headroom(&self.upstreams, &self.cfg.rules, self.now);
+        }
         if (answer || lost) && !stale {
             self.detect_outlier(upstream, &flight, end, lost, actions);
         }
@@ -709,7 +701,7 @@
         // errors in a row by chance cost an ejection. Turning a class away counts as much: the call can go
         // elsewhere, but it has held a slot until it came back.
         let fault = matches!(outcome, Outcome::Error | Outcome::Rejected);
-        let within = self.turns.order[..self.turns.subset as usize].iter().filter(|id| **id != upstream);
+        let within = self.turns.split().0.iter().filter(|id| **id != upstream);
         let peers: Vec<_> = within.map(|id| &self.upstreams[id].learned.health).collect();
         // Without peers there is nothing to compare with.
         let usual_faults = |scope: usize| {
@@ -794,7 +786,7 @@
         loop {
             let u = &self.upstreams[&upstream];
             let longest = |a: &&UpstreamId| (self.upstreams[a].queue.len(), std::cmp::Reverse(**a));
-            let other = || self.turns.order[..self.turns.subset as usize].iter().max_by_key(longest);
+            let other = || self.turns.split().0.iter().max_by_key(longest);
             let from = Some(&upstream).filter(|_| !u.queue.is_empty()).or_else(other).unwrap_or(&upstream);
             let queue = self.upstreams[from].queue.iter().rev().copied();
             let Some(id) = queue.max_by(|a, b| self.value(*a).total_cmp(&self.value(*b))) else { return };
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -73,8 +73,7 @@
 impl Budget {
     pub fn new(descriptors: usize, admin: bool) -> Rc<Self> {
         let (clients, others, discovery, admin_open, most, most_clients, ahead) = Default::default();
-        let most_admin = if admin { ADMIN } else { 0 };
-        let admin = admin_open;
+        let (most_admin, admin) = (if admin { ADMIN } else { 0 }, admin_open);
         let budget = Budget { clients, others, discovery, admin, most, most_clients, most_admin, ahead };
         budget.limit(descriptors);
         Rc::new(budget)
@@ -370,28 +369,19 @@
         false
     }
 
-    /// True if the peer has sent something that is still unread, closed or not. Asks the kernel, as below.
-    pub fn has_unread(&self) -> bool {
-        let peeked = SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()]);
-        !self.0.ahead.borrow().is_empty() || matches!(peeked, Ok(1..))
-    }
-
     /// Ends the connection, and waits until the peer has closed it too if bytes of it lie unread; looks so often. Guards
     /// against a close over these: it resets the connection, and what the peer has not taken yet is lost. They stay
     /// unread, as a request among them is to be sent again elsewhere; but what is left of one that was `turned_away` is
     /// read to no end.
     pub async fn outlast(&self, turned_away: bool, look: Duration) {
-        let socket = SockRef::from(&self.0.stream);
         // It may have been ended before, or have broken.
-        let _ = socket.shutdown(Shutdown::Write);
-        if !turned_away && !matches!(socket.peek(&mut [MaybeUninit::uninit()]), Ok(1..)) {
+        let _ = SockRef::from(&self.0.stream).shutdown(Shutdown::Write);
+        self.read_ahead(turned_away);
+        if !turned_away && !self.has_unread() {
             return;
         }
-        while !(turned_away && self.ends_behind()) {
+        while !self.has_left() {
             self.stirs().await;
-            if self.has_left() {
-                return;
-            }
             match turned_away {
                 true => yield_now().await,
                 false => sleep(look).await,
@@ -399,6 +389,12 @@
         }
     }
 
+    /// True if the peer has sent something that is still unread, closed or not. Asks the kernel, as below.
+    pub fn has_unread(&self) -> bool {
+        let peeked = SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()]);
+        !self.0.ahead.borrow().is_empty() || matches!(peeked, Ok(1..))
+    }
+
     /// True if the peer has neither closed nor sent anything that is still unread. Asks the kernel: what the
     /// event loop knows may be older than the peer's farewell.
     pub fn is_quiet(&self) -> bool {
