--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -2,8 +2,9 @@
 
 mod peers;
 use peers::*;
-use std::thread::sleep;
-use std::time::Duration;
+use std::sync::mpsc::{channel, RecvTimeoutError};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
 
 const ID: &str = "Request-Id: {id}\r\n";
 
@@ -117,6 +118,42 @@
     assert_eq!(upstream.seen.try_iter().count(), 1);
 }
 
+/// Guards against cutting off a client that still sends when it has its answer: that may take longer than a head may.
+#[test]
+fn the_rest_of_a_body_may_come_long_after_its_answer() {
+    let nobody = Refusing::new();
+    let (program, _discovery) = Program::with(&[nobody.address]);
+    for _ in 0..10 {
+        let mut last = Instant::now();
+        let mut client = program.client();
+        client.write("POST /pay HTTP/1.1\r\nRequest-Id: ee03\r\nTransfer-Encoding: chunked\r\n\r\n");
+        client.write(&format!("30d40\r\n{}\r\n", bytes(200_000)));
+        let (mut write, (stop, stopped)) = (client.writer(), channel());
+        let sending = thread::spawn(move || {
+            let mut longest = last.elapsed();
+            while stopped.recv_timeout(Duration::from_millis(20)) == Err(RecvTimeoutError::Timeout) {
+                // Where the connection has ended, the next request shows it.
+                let _ = write("1\r\nx\r\n");
+                longest = longest.max(last.elapsed());
+                last = Instant::now();
+            }
+            let _ = write("0\r\n\r\n");
+            longest.max(last.elapsed())
+        });
+        let answer = client.receive();
+        // Longer than a head may take.
+        sleep(Duration::from_secs(4));
+        stop.send(()).unwrap();
+        // Where the machine has kept the client from sending, it may be cut off: that shows nothing.
+        if sending.join().unwrap() < Duration::from_secs(2) {
+            assert_eq!(answer.unwrap().expect("an answer").status(), 503);
+            assert_eq!(client.ask("/pay", ID, "coins").status(), 503);
+            return;
+        }
+    }
+    panic!("the machine let the client send at no time");
+}
+
 /// Guards against cutting off a client that sends slowly but keeps sending, longer than a first request may take.
 #[test]
 fn a_slow_body_is_waited_for() {
@@ -134,6 +171,24 @@
     assert!(upstream.next().body == body.as_bytes());
 }
 
+/// Guards against calling a body late that was there in time, while the program had no turn to read it.
+#[test]
+fn a_body_that_came_while_the_program_stood_still_is_in_time() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with(&[upstream.address]);
+    let (mut client, body) = (program.client(), bytes(60_000));
+    client.write("POST /pay HTTP/1.1\r\nRequest-Id: ee04\r\nContent-Length: 60000\r\n");
+    client.write("Expect: 100-continue\r\n\r\n");
+    assert_eq!(client.receive().unwrap().unwrap().status(), 100);
+    program.hold();
+    client.write(&body);
+    // Longer than a body of this size may take; more does no harm.
+    sleep(Duration::from_secs(4));
+    program.go_on();
+    assert_eq!(client.receive().unwrap().unwrap().status(), 200);
+    assert!(upstream.next().body == body.as_bytes());
+}
+
 /// Guards against a client that stops in the middle of a streamed body: its upstream is not to blame, and not to wait.
 #[test]
 fn a_streamed_body_that_stops_frees_its_upstream() {
