--- a/src/balance.rs
+++ b/src/balance.rs
@@ -58,9 +58,9 @@
 const MOST_EXCESS: f64 = 4.0;
 /// Longest waits for a call to discovery, over the time after which its news count as told: for the first
 /// one, after one that failed as soon as this, and after one that waited in turn.
-const FIRST: f64 = 0.5;
+const FIRST: f64 = 0.25;
 const SOON: f64 = 0.1;
-const LATER: f64 = 0.62;
+const LATER: f64 = 0.25;
 /// Timer for the subscription to the list; requests use their id, which is smaller.
 const SUBSCRIBE: u64 = u64::MAX >> 1;
 
@@ -189,8 +189,7 @@
             let late = failed && self.now - self.asking.at > SOON * told;
             let part = if late { LATER } else { [FIRST, SOON][usize::from(failed)] };
             let wait = (self.cfg.rules.ask_within / 4.0 * self.asking.back_off(failed)).min(part * told);
-            let least = if late { wait / 8.0 } else { 0.0 };
-            let after = self.rng.random_range(least..wait) + self.cfg.tick;
+            let after = self.rng.random_range(0.0..wait) + self.cfg.tick;
             actions.push(Action::SetTimer { after, token: SUBSCRIBE });
             let text = format!("discovery failed, asked again in {after:.1} s");
             actions.extend(failed.then_some(Action::Log { upstream: None, text }));
