Take an upstream at its word that drains while the list is stale

Processes that start anew as discovery comes back know an old list, and 350 calls come where it can work off 250 before that counts as told.

Change: where lists are asked for and the last call failed, an upstream that turns three calls away in a row, and answers none between, counts as draining until the list is heard; no more than half of those listed.

Tests: asking.rs, two, of which the first fails without the change and the second keeps its bounds.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -30,11 +30,13 @@
     failures: i32,
     /// When one was last made.
     at: f64,
+    /// Asked for, and not heard since the start, since a call failed or since a watch broke.
+    stale: bool,
 }
 
 impl Default for Asking {
     fn default() -> Self {
-        Asking { failures: 0, at: f64::INFINITY }
+        Asking { failures: 0, at: f64::INFINITY, stale: false }
     }
 }
 
@@ -45,6 +47,11 @@
         Action::Subscribe
     }
 
+    /// What is listed may have changed unheard.
+    pub(crate) fn is_stale(&self) -> bool {
+        self.stale
+    }
+
     /// Takes note of news, or of a call that failed, and sets the time of the next call if there is to be
     /// one.
     ///
@@ -61,7 +68,9 @@
     ) {
         let (failed, told) = (scope == ListScope::Failed, cfg.rules.told);
         self.failures = if failed { self.failures + 1 } else { 0 };
-        if cfg.discovery != Discovery::Ask || !matches!(scope, ListScope::Cached | ListScope::Failed) {
+        self.stale =
+            cfg.discovery == Discovery::Ask && matches!(scope, ListScope::Cached | ListScope::Failed);
+        if !self.stale {
             return;
         }
         let late = failed && now - self.at > SOON * told;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -177,6 +177,9 @@
 
     fn on_list(&mut self, scope: ListScope, entries: Vec<UpstreamEntry>, actions: &mut Vec<Action>) {
         self.asking.note(scope, &self.cfg, self.now, &mut self.rng, actions);
+        if !self.asking.is_stale() {
+            self.upstreams.values_mut().for_each(Upstream::clear);
+        }
         if matches!(scope, ListScope::Full | ListScope::Cached) {
             self.upstreams.values_mut().for_each(|u| u.entry.state = UpstreamState::Off);
         }
@@ -562,9 +565,24 @@
         if self.calls.get(&end.id).is_some_and(|c| !c.concluded && c.out() == 0) {
             self.again(end.id, end.outcome, actions);
         }
+        self.suspect_drain(upstream, end.outcome, actions);
         self.wake(upstream, actions);
     }
 
+    /// Guards against an upstream that drains while the list can't be heard: one that turns away call after
+    /// call is taken at its word until then. Not where so many do: they are crowded.
+    fn suspect_drain(&mut self, upstream: UpstreamId, outcome: Outcome, actions: &mut Vec<Action>) {
+        let suspected = self.upstreams.values().filter(|u| u.suspected).count() as f64;
+        let few = suspected < PANIC_SHARE * (self.turns.order.len() as f64 + suspected);
+        let Some(u) = self.upstreams.get_mut(&upstream) else { return };
+        if u.turns_all_away(outcome) && u.is_on() && few && self.asking.is_stale() {
+            u.suspected = true;
+            let text = "left out until the list is heard, as it turns all away".into();
+            actions.push(Action::Log { upstream: Some(upstream), text });
+            self.relist(actions);
+        }
+    }
+
     /// Frees the attempt's slot, and widens or narrows the upstream's slice.
     fn learn(&mut self, upstream: UpstreamId, end: &AttemptEnd, actions: &mut Vec<Action>) {
         let Call { class, work, hurried, .. } = self.calls[&end.id];
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
+/// An upstream that turns so many calls away in a row, and answers none, may be draining.
+const TURNED_AWAY: u32 = 3;
 /// Calls beyond those in flight that may come without answers before slow start minds.
 const FEW_ANSWERS: f64 = 3.0;
 
@@ -140,6 +142,9 @@
     pub(crate) entry: UpstreamEntry,
     /// The operators have it left out.
     pub(crate) out: bool,
+    /// Calls turned away in a row, and whether it is taken for one that drains for that.
+    pub(crate) turned_away: u32,
+    pub(crate) suspected: bool,
     /// When they put it back, if it may have been restarted since it was last known to start.
     pub(crate) returned: f64,
     pub(crate) flights: Vec<Flight>,
@@ -283,13 +288,29 @@
 
 impl Upstream {
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
-        let (out, returned, flights, queue, due, idle, learned) = Default::default();
-        Upstream { entry, out, returned, flights, queue, due, idle, learned }
+        let (out, turned_away, suspected, returned) = Default::default();
+        let (flights, queue, due, idle, learned) = Default::default();
+        Upstream { entry, out, turned_away, suspected, returned, flights, queue, due, idle, learned }
     }
 
-    /// The list and the operators let it have calls.
+    /// The list and the operators let it have calls, and so does itself as far as can be known.
     pub(crate) fn is_on(&self) -> bool {
-        self.entry.state == UpstreamState::On && !self.out
+        self.entry.state == UpstreamState::On && !self.out && !self.suspected
+    }
+
+    /// Counts the calls that it has turned away in a row; whether they are so many that it may be draining.
+    pub(crate) fn turns_all_away(&mut self, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Rejected => self.turned_away += 1,
+            Outcome::Ok | Outcome::Error | Outcome::Spoilt => self.turned_away = 0,
+            _ => {}
+        }
+        self.turned_away >= TURNED_AWAY
+    }
+
+    /// The list has been heard, and goes before what was thought meanwhile.
+    pub(crate) fn clear(&mut self) {
+        (self.turned_away, self.suspected) = (0, false);
     }
 
     /// Slow start lets it have a further part of a turn.
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -1,4 +1,4 @@
-//! Lists that are asked for: the calls of a whole fleet at one discovery.
+//! Lists that are asked for: the calls of a whole fleet at one discovery, and what a balancer does meanwhile.
 //!
 //! Discovery takes calls in turn, one after the other. Each costs it the same, also one that is refused because its
 //! turn has not come in time: a fleet that asks too often is refused for ever, whatever time passes.
@@ -217,3 +217,52 @@
         }
     }
 }
+
+/// A balancer whose list is stale (or not), of so many upstreams of which the first `full` turn every call away; how
+/// many calls each of those had.
+fn play_calls(stale: bool, upstreams: u64, full: u64, calls: u64) -> (Rig, Vec<usize>) {
+    let mut settings = Settings { discovery: Discovery::Ask, ..Settings::simple() };
+    settings.classes[0].deadline = 60.0;
+    let mut rig = Rig::new(settings, upstreams);
+    if stale {
+        rig.list(ListScope::Failed, vec![]);
+    }
+    let mut had = vec![0; upstreams as usize + 1];
+    send_calls(&mut rig, 1, full, calls, &mut had);
+    (rig, had)
+}
+
+fn send_calls(rig: &mut Rig, first: u64, full: u64, calls: u64, had: &mut [usize]) {
+    for id in first..first + calls {
+        rig.now += 0.5;
+        let mut actions = rig.on(request(id, 0, 60.0));
+        let mut attempt = 0;
+        while let Some((_, upstream)) = sends(&actions).into_iter().find(|(sent, _)| *sent == id) {
+            had[upstream as usize] += 1;
+            let outcome = if upstream <= full { Outcome::Rejected } else { Outcome::Ok };
+            actions = rig.on(end(id, attempt, outcome));
+            attempt += 1;
+        }
+    }
+}
+
+/// Guards against calls that go on to upstreams which drain while the list can't be heard: they say so themselves.
+#[test]
+fn behind_a_stale_list_upstreams_that_turn_all_away_are_left_out() {
+    let (mut rig, mut had) = play_calls(true, 6, 2, 300);
+    assert!(had[1] <= 3 && had[2] <= 3, "{had:?}");
+    // It is heard again, and lists them still: they are tried as before.
+    rig.list(ListScope::Delta, vec![]);
+    let before = had.clone();
+    send_calls(&mut rig, 1000, 0, 300, &mut had);
+    assert!(had[1] > before[1] && had[2] > before[2], "{had:?}");
+}
+
+/// Guards against a list that is heard and not believed, and against a crowd that is taken for a release.
+#[test]
+fn upstreams_that_turn_calls_away_are_tried_again_where_the_list_is_heard_or_most_do() {
+    let (_, had) = play_calls(false, 6, 2, 300);
+    assert!(had[1] > 3 && had[2] > 3, "{had:?}");
+    let (_, had) = play_calls(true, 6, 6, 300);
+    assert!(had[1..].iter().filter(|had| **had > 3).count() >= 3, "{had:?}");
+}
