Give the tests one way to wait, one patient configuration, and one name for each set-up

Change: until, config_of and patient are in peers/mod.rs; many_held, four_out and connecting in clients.rs. The wait looks each 2 ms in all of them (it was 5 ms in three files). Assertions and bounds are as before; two of clients.rs now say more where they fail.

--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -7,15 +7,6 @@
 
 const ID: &str = "Request-Id: {id}\r\n";
 
-/// Waits until this holds; whatever it waits for has to come.
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let begin = std::time::Instant::now();
-    while !holds() {
-        assert!(begin.elapsed() < PATIENCE, "{what}");
-        sleep(Duration::from_millis(5));
-    }
-}
-
 #[test]
 fn operators_are_answered_beside_callers_that_never_finish_their_call() {
     let upstream = Upstream::start(Reply::Ok);
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -5,8 +5,6 @@
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
-use std::thread::sleep;
-use std::time::{Duration, Instant};
 
 const ID: &str = "Request-Id: {id}\r\n";
 /// The most that is read of a client while its request waits, and much more than that.
@@ -14,22 +12,10 @@
 /// What the kernel takes for a program that stands still.
 const BEHIND_STILL: [usize; 3] = [0, 20, 30_000];
 
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let begun = Instant::now();
-    while !holds() {
-        assert!(begun.elapsed() < PATIENCE, "{what}");
-        sleep(Duration::from_millis(2));
-    }
-}
-
 /// A program whose calls wait for longer than any test, so that none is given up but for its client.
-fn patient(upstreams: &[SocketAddr], cancel: bool) -> (Program, DiscoveryPeer) {
+fn start(upstreams: &[SocketAddr], cancel: bool) -> (Program, DiscoveryPeer) {
     let discovery = DiscoveryPeer::start();
-    let entries = upstreams.iter().enumerate();
-    let entries: Vec<_> = entries.map(|(n, a)| endpoint(&format!("u{n}"), *a, "in_service")).collect();
-    let config = config(&list(5, true, &entries), discovery.address, 256)
-        .replace("\"aim\":5.0,\"hardLimit\":10.0", "\"aim\":200.0,\"hardLimit\":400.0")
-        .replace("Timeout\":1.0", "Timeout\":60.0")
+    let config = patient(&config_of(upstreams, discovery.address, 256))
         .replace("\"cancel\":true", &format!("\"cancel\":{cancel}"));
     let variables = [("PROXY_CONSOLE", "127.0.0.1:0")];
     (Program::start_with(&variables, &config, "127.0.0.1:0"), discovery)
@@ -67,6 +53,46 @@
     (running, waiting)
 }
 
+/// The same with so many that wait.
+fn many_held(program: &Program, upstream: &Upstream, count: usize) -> (Vec<Client>, Vec<Client>) {
+    let (running, waiting) = held(program, upstream, "/pay");
+    let mut all_waiting = vec![waiting];
+    while all_waiting.len() < count {
+        let mut client = program.client();
+        client.send("/pay", ID, "").unwrap();
+        all_waiting.push(client);
+    }
+    let all = (running.len() + count) as u64;
+    until("all are taken", || program.figure("in_flight") == all);
+    (running, all_waiting)
+}
+
+/// Four clients, whose calls to `/pay/0`, `/pay/1` and so on are all out.
+fn four_out(program: &Program) -> Vec<Client> {
+    let mut clients: Vec<_> = (0..4).map(|_| program.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&format!("/pay/{number}"), ID, "").unwrap();
+    }
+    until("all are out", || program.figure("attempts") == 4);
+    clients
+}
+
+/// A client whose call waits for a connection, and the descriptors that the program held before.
+fn connecting(program: &Program) -> (Client, usize) {
+    until("nothing is open", || program.figure("in_flight") == 0);
+    let before = program.descriptors();
+    let mut client = program.client();
+    client.send("/pay", ID, "coins").unwrap();
+    until("it connects", || program.descriptors() == before + 2);
+    (client, before)
+}
+
+/// The next that reaches the upstream is a request that comes now: nothing of those that have left does.
+fn only_new_ones_come(program: &Program, upstream: &Upstream, what: &str) {
+    assert_eq!(program.client().ask("/pay/last", ID, "").status(), 200, "{what}");
+    assert_eq!(upstream.next().first, "POST /pay/last HTTP/1.1", "{what}");
+}
+
 /// Guards against a request that is sent on after its client has left while it was held, also where bytes behind it
 /// hide that.
 #[test]
@@ -74,7 +100,7 @@
     for behind in BEHIND {
         for reset in [false, true] {
             let upstream = Upstream::start(Reply::Hold);
-            let (program, _discovery) = patient(&[upstream.address], true);
+            let (program, _discovery) = start(&[upstream.address], true);
             let (mut running, waiting) = held(&program, &upstream, "/pay");
             leave(waiting, behind, reset);
             let left = running.len() as u64;
@@ -83,8 +109,7 @@
             for client in &mut running {
                 assert_eq!(client.receive().unwrap().unwrap().status(), 200, "{behind} {reset}");
             }
-            assert_eq!(program.client().ask("/pay/last", ID, "").status(), 200);
-            assert_eq!(upstream.next().first, "POST /pay/last HTTP/1.1", "{behind} {reset}");
+            only_new_ones_come(&program, &upstream, &format!("{behind} {reset}"));
         }
     }
 }
@@ -93,24 +118,15 @@
 #[test]
 fn held_requests_whose_clients_leave_together_are_not_sent_on() {
     let upstream = Upstream::start(Reply::Hold);
-    let (program, _discovery) = patient(&[upstream.address], true);
-    let (mut running, waiting) = held(&program, &upstream, "/pay");
-    let mut leaving = vec![waiting];
-    for _ in 0..11 {
-        let mut client = program.client();
-        client.send("/pay", ID, "").unwrap();
-        leaving.push(client);
-    }
-    let all = (running.len() + leaving.len()) as u64;
-    until("all are taken", || program.figure("in_flight") == all);
+    let (program, _discovery) = start(&[upstream.address], true);
+    let (mut running, leaving) = many_held(&program, &upstream, 12);
     for (number, client) in leaving.into_iter().enumerate() {
         leave(client, BEHIND[number % 3], number % 2 == 0);
     }
     until("their ends are seen", || program.figure("in_flight") == running.len() as u64);
     upstream.release();
     running.iter_mut().for_each(|client| drop(client.receive().unwrap().expect("an answer")));
-    assert_eq!(program.client().ask("/pay/last", ID, "").status(), 200);
-    assert_eq!(upstream.next().first, "POST /pay/last HTTP/1.1");
+    only_new_ones_come(&program, &upstream, "they have left together");
 }
 
 /// Guards against a client that leaves between two attempts: turned away by one upstream, its request waits for the
@@ -119,12 +135,8 @@
 fn a_request_whose_client_has_left_is_not_tried_again() {
     for behind in BEHIND {
         let (full, busy) = (Upstream::start(Reply::Hold), Upstream::start(Reply::Hold));
-        let (program, _discovery) = patient(&[full.address, busy.address], true);
-        let mut clients: Vec<_> = (0..4).map(|_| program.client()).collect();
-        for (number, client) in clients.iter_mut().enumerate() {
-            client.send(&format!("/pay/{number}"), ID, "").unwrap();
-        }
-        until("all are out", || program.figure("attempts") == 4);
+        let (program, _discovery) = start(&[full.address, busy.address], true);
+        let mut clients = four_out(&program);
         let leaving: usize = full.next().first["POST /pay/".len()..][..1].parse().unwrap();
         full.set(Reply::NotStarted);
         full.release();
@@ -145,13 +157,9 @@
 fn a_request_whose_client_has_left_waits_for_no_connection() {
     for cancel in [true, false] {
         for behind in BEHIND {
-            let (program, discovery) = patient(&[unreachable()], cancel);
+            let (program, discovery) = start(&[unreachable()], cancel);
             let _watch = discovery.next();
-            until("nothing is open", || program.figure("in_flight") == 0);
-            let before = program.descriptors();
-            let mut client = program.client();
-            client.send("/pay", ID, "coins").unwrap();
-            until("it connects", || program.descriptors() == before + 2);
+            let (client, before) = connecting(&program);
             leave(client, behind, false);
             until("its connection is given up", || program.descriptors() == before);
         }
@@ -163,7 +171,7 @@
 fn a_held_request_whose_client_leaves_in_the_middle_of_its_body_is_not_sent_on() {
     for reset in [false, true] {
         let upstream = Upstream::start(Reply::Hold);
-        let (program, _discovery) = patient(&[upstream.address], true);
+        let (program, _discovery) = start(&[upstream.address], true);
         let (mut running, waiting) = held(&program, &upstream, "/pay");
         let mut uploading = program.client();
         uploading.write(
@@ -183,12 +191,6 @@
     }
 }
 
-/// The next that reaches the upstream is a request that comes now: nothing of those that have left does.
-fn only_new_ones_come(program: &Program, upstream: &Upstream, what: &str) {
-    assert_eq!(program.client().ask("/pay/last", ID, "").status(), 200, "{what}");
-    assert_eq!(upstream.next().first, "POST /pay/last HTTP/1.1", "{what}");
-}
-
 /// Guards against the order in which a program that was short of its core takes what has come meanwhile: many clients
 /// have left, each in a way of its own, and slots have become free, before or after that.
 #[test]
@@ -196,16 +198,8 @@
     for behind in BEHIND_STILL {
         for free_first in [false, true] {
             let upstream = Upstream::start(Reply::Hold);
-            let (program, _discovery) = patient(&[upstream.address], true);
-            let (mut running, waiting) = held(&program, &upstream, "/pay");
-            let mut leaving = vec![waiting];
-            for _ in 0..7 {
-                let mut client = program.client();
-                client.send("/pay", ID, "").unwrap();
-                leaving.push(client);
-            }
-            let all = (running.len() + leaving.len()) as u64;
-            until("all are taken", || program.figure("in_flight") == all);
+            let (program, _discovery) = start(&[upstream.address], true);
+            let (mut running, leaving) = many_held(&program, &upstream, 8);
             program.hold();
             let free = || {
                 upstream.release();
@@ -229,7 +223,7 @@
 fn a_request_whose_client_left_before_it_was_read_is_not_sent_on() {
     for behind in BEHIND_STILL {
         let upstream = Upstream::start(Reply::Ok);
-        let (program, _discovery) = patient(&[upstream.address], true);
+        let (program, _discovery) = start(&[upstream.address], true);
         for _ in 0..4 {
             let mut client = program.client();
             assert_eq!(client.ask("/read", ID, "").status(), 200);
@@ -248,12 +242,8 @@
 fn a_request_whose_client_left_while_the_program_stood_still_is_not_tried_again() {
     for behind in BEHIND_STILL {
         let (full, busy) = (Upstream::start(Reply::Hold), Upstream::start(Reply::Hold));
-        let (program, _discovery) = patient(&[full.address, busy.address], true);
-        let mut clients: Vec<_> = (0..4).map(|_| program.client()).collect();
-        for (number, client) in clients.iter_mut().enumerate() {
-            client.send(&format!("/pay/{number}"), ID, "").unwrap();
-        }
-        until("all are out", || program.figure("attempts") == 4);
+        let (program, _discovery) = start(&[full.address, busy.address], true);
+        let clients = four_out(&program);
         let gone = [full.next().first, full.next().first];
         program.hold();
         full.set(Reply::NotStarted);
@@ -278,13 +268,9 @@
     for cancel in [true, false] {
         for behind in BEHIND_STILL {
             let door = Door::shut();
-            let (program, discovery) = patient(&[door.address], cancel);
+            let (program, discovery) = start(&[door.address], cancel);
             let _watch = discovery.next();
-            until("nothing is open", || program.figure("in_flight") == 0);
-            let before = program.descriptors();
-            let mut client = program.client();
-            client.send("/pay", ID, "coins").unwrap();
-            until("it connects", || program.descriptors() == before + 2);
+            let (client, _) = connecting(&program);
             program.hold();
             let all = door.waiting.len() as u64 + 1;
             let upstream = door.open(Reply::Ok);
@@ -303,7 +289,7 @@
 fn a_streamed_body_whose_client_left_while_the_program_stood_still_stays_unfinished() {
     for cancel in [true, false] {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let (program, _discovery) = patient(&[listener.local_addr().unwrap()], cancel);
+        let (program, _discovery) = start(&[listener.local_addr().unwrap()], cancel);
         for number in 0..8 {
             let mut client = program.client();
             client.write(&format!("POST /pay/half HTTP/1.1\r\nHost: b\r\nRequest-Id: d{number}\r\n"));
@@ -331,7 +317,7 @@
 fn a_client_that_half_closes_has_gone() {
     for behind in BEHIND_STILL {
         let upstream = Upstream::start(Reply::Hold);
-        let (program, _discovery) = patient(&[upstream.address], true);
+        let (program, _discovery) = start(&[upstream.address], true);
         let (mut running, mut waiting) = held(&program, &upstream, "/pay");
         waiting.write(&"x".repeat(behind));
         waiting.half_close();
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -3,20 +3,12 @@
 mod peers;
 use peers::*;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const ID: &str = "Request-Id: {id}\r\n";
 /// Descriptors that a program with a console keeps for it.
 const FOR_OPERATORS: usize = 12;
 
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let begun = Instant::now();
-    while !holds() {
-        assert!(begun.elapsed() < PATIENCE, "{what}");
-        sleep(Duration::from_millis(2));
-    }
-}
-
 /// Guards against a close over unread bytes: it resets the connection, and what its client has not taken yet of its
 /// answer goes with it.
 #[test]
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -7,18 +7,10 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const ID: &str = "Request-Id: {id}\r\n";
 
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let begun = Instant::now();
-    while !holds() {
-        assert!(begun.elapsed() < PATIENCE, "{what}");
-        sleep(Duration::from_millis(2));
-    }
-}
-
 /// A list that is a change of the one that the program knows.
 fn change(index: u64, entries: &[(&str, SocketAddr, &str)]) -> String {
     let entries: Vec<_> = entries.iter().map(|(name, at, status)| endpoint(name, *at, status)).collect();
@@ -153,11 +145,8 @@
 fn a_connection_that_comes_up_late_carries_its_request_once() {
     let door = Door::shut();
     let discovery = DiscoveryPeer::start();
-    let known = list(5, true, &[endpoint("u0", door.address, "in_service")]);
-    let patient = config(&known, discovery.address, 1024)
-        .replace("Timeout\":1.0", "Timeout\":60.0")
-        .replace("\"aim\":5.0,\"hardLimit\":10.0", "\"aim\":200.0,\"hardLimit\":400.0");
-    let program = Program::start(&patient, "127.0.0.1:0");
+    let config = patient(&config_of(&[door.address], discovery.address, 1024));
+    let program = Program::start(&config, "127.0.0.1:0");
     let mut client = program.client();
     client.send("/pay", ID, "coins").unwrap();
     assert_eq!(program.client().ask("/healthz", "", "").status(), 200);
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, sleep, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const ID: &str = "Request-Id: {id}\r\n";
 /// The least descriptors, and the most that are common.
@@ -22,15 +22,6 @@
     ALONE.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Waits until this holds; whatever it waits for has to come.
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let begin = Instant::now();
-    while !holds() {
-        assert!(begin.elapsed() < PATIENCE, "{what}");
-        sleep(Duration::from_millis(5));
-    }
-}
-
 fn start(known: &str, discovery: SocketAddr, sockets: usize, mode: &str) -> Program {
     let mode = format!("\"discovery\":\"{mode}\"");
     let config = config(known, discovery, sockets).replace("\"discovery\":\"ask\"", &mode);
--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -8,11 +8,7 @@
 const ID: &str = "Request-Id: {id}\r\n";
 
 fn drains(program: &Program) {
-    let begun = Instant::now();
-    while program.call("GET /healthcheck").0 != 503 {
-        assert!(begun.elapsed() < PATIENCE, "it drains");
-        sleep(Duration::from_millis(2));
-    }
+    until("it drains", || program.call("GET /healthcheck").0 == 503);
 }
 
 /// Guards against requests that are lost because SIGTERM is read before them: on a kept connection, on one that is
@@ -95,11 +91,8 @@
 fn what_is_still_connecting_does_not_wait_for_an_upstream_that_has_moved() {
     let (old, new) = (unreachable(), Upstream::start(Reply::Ok));
     let discovery = DiscoveryPeer::start();
-    let known = list(5, true, &[endpoint("u0", old, "in_service")]);
-    let patient = config(&known, discovery.address, 1024)
-        .replace("Timeout\":1.0", "Timeout\":60.0")
-        .replace("\"aim\":5.0,\"hardLimit\":10.0", "\"aim\":200.0,\"hardLimit\":400.0");
-    let program = Program::start(&patient, "127.0.0.1:0");
+    let config = patient(&config_of(&[old], discovery.address, 1024));
+    let program = Program::start(&config, "127.0.0.1:0");
     let mut client = program.client();
     client.send("/pay", ID, "coins").unwrap();
     // That it is taken is seen by an answer to who came after it.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -16,6 +16,15 @@
 /// No step of a test takes longer, also on a busy machine; whoever waits for so long has failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Waits until this holds; whatever it waits for has to come.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "{what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
 /// A request or an answer as read off a socket.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -353,6 +362,20 @@
     )
 }
 
+/// One that knows these upstreams, named `u0`, `u1` and so on.
+pub fn config_of(upstreams: &[SocketAddr], discovery: SocketAddr, sockets: usize) -> String {
+    let entries = upstreams.iter().enumerate();
+    let entries: Vec<_> = entries.map(|(n, a)| endpoint(&format!("u{n}"), *a, "in_service")).collect();
+    config(&list(5, true, &entries), discovery, sockets)
+}
+
+/// The same with calls and connections that are waited for longer than any test.
+pub fn patient(config: &str) -> String {
+    config
+        .replace("\"aim\":5.0,\"hardLimit\":10.0", "\"aim\":200.0,\"hardLimit\":400.0")
+        .replace("Timeout\":1.0", "Timeout\":60.0")
+}
+
 /// An address that never lets a connection come up: its queue of connections is full and nobody takes them.
 pub fn unreachable() -> SocketAddr {
     let Door { address, listener, waiting } = Door::shut();
@@ -511,9 +534,7 @@
     /// The same with so many descriptors.
     pub fn with_console_and(upstreams: &[SocketAddr], sockets: usize) -> (Self, DiscoveryPeer) {
         let discovery = DiscoveryPeer::start();
-        let entries = upstreams.iter().enumerate();
-        let entries: Vec<_> = entries.map(|(n, a)| endpoint(&format!("u{n}"), *a, "in_service")).collect();
-        let config = config(&list(5, true, &entries), discovery.address, sockets);
+        let config = config_of(upstreams, discovery.address, sockets);
         (Self::start_with(&[("PROXY_CONSOLE", "127.0.0.1:0")], &config, "127.0.0.1:0"), discovery)
     }
 
@@ -545,10 +566,7 @@
 
     pub fn with_sockets(upstreams: &[SocketAddr], sockets: usize) -> (Self, DiscoveryPeer) {
         let discovery = DiscoveryPeer::start();
-        let entries = upstreams.iter().enumerate();
-        let entries: Vec<_> = entries.map(|(n, a)| endpoint(&format!("u{n}"), *a, "in_service")).collect();
-        let config = config(&list(5, true, &entries), discovery.address, sockets);
-        (Self::start(&config, "127.0.0.1:0"), discovery)
+        (Self::start(&config_of(upstreams, discovery.address, sockets), "127.0.0.1:0"), discovery)
     }
 
     pub fn id(&self) -> u32 {
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -7,21 +7,11 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::mpsc::channel;
-use std::thread::{self, sleep};
-use std::time::{Duration, Instant};
+use std::thread;
 
 const ID: &str = "Request-Id: {id}\r\n";
 const MODES: [&str; 2] = ["ask", "push"];
 
-/// Waits until this holds; whatever it waits for has to come.
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let begin = Instant::now();
-    while !holds() {
-        assert!(begin.elapsed() < PATIENCE, "{what}");
-        sleep(Duration::from_millis(5));
-    }
-}
-
 fn settings(known: &[String], discovery: SocketAddr, mode: &str) -> String {
     let mode = format!("\"discovery\":\"{mode}\"");
     config(&list(5, true, known), discovery, 256).replace("\"discovery\":\"ask\"", &mode)
