Bound what an upstream may send before each part of a body, not only before its head

Cause: an_answer_that_never_comes_to_an_end_is_spoilt failed beside a load (1 of 4 runs of all tests, 3 of 18 of its file): 10.8 s for the answer whose chunk has a size of zeros without end, so till its client's time was up; 0.02 s alone. The test is right. Attempt::exchange took the bound off the socket as soon as the head had been read (allow_more), and hyper reads the digits of a chunk's size, and spaces behind them, for as long as they come, and gives nothing to whoever waits for the body. Where they came in one turn with the head, the bound for the head still stopped them, as in the runs that passed.

Change: the bound is set anew before each part of a body that is read ahead, or passed over behind a status that is no answer (`part`, `pass_over` in upstream.rs). It is lifted where an answer is passed on in parts: there each part has its time (UPSTREAM_STALL).

--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -265,10 +265,15 @@
         self.0.wants_quiet.set(true);
         *self.0.client.borrow_mut() = client;
         self.0.end.set(usize::MAX);
-        self.0.most_read.set(self.read().saturating_add(most_read));
+        self.allow(most_read);
         *self.0.whole.borrow_mut() = None;
     }
 
+    /// So many more bytes may come until more is allowed.
+    pub fn allow(&self, more: usize) {
+        self.0.most_read.set(self.read().saturating_add(more));
+    }
+
     /// Whatever comes from now on may be read.
     pub fn allow_more(&self) {
         self.0.most_read.set(usize::MAX);
--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -4,8 +4,8 @@
 use crate::socket::{Budget, Peer, Purpose, Socket};
 use crate::stats::Stats;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -24,7 +24,8 @@
 
 /// The head of an answer.
 const LARGEST_HEAD: usize = 16 << 10;
-/// All that may come ahead of a body: interim answers and the head.
+/// All that may come ahead of a body, interim answers and the head, and before each further part of one: the size of a
+/// chunk, say, and what stands beside that.
 const LARGEST_PREFACE: usize = 4 * LARGEST_HEAD;
 /// Idle connections are dropped this share of their time before the upstream would.
 const MARGIN: f64 = 0.1;
@@ -355,20 +356,13 @@
                 return Ok((Err(Outcome::Spoilt), After::Close));
             }
             let kept = head.version == Version::HTTP_11 && !names(&head.headers, CONNECTION, "close");
-            socket.allow_more();
             let (ended, after) = match outcome(head.status, &head.headers) {
                 Ok(()) => {
-                    let (content, after) = self.content(body).await?;
+                    let (content, after) = self.content(socket, body).await?;
                     (content.map(|body| Answer { headers: head.headers, body }), after)
                 }
                 // What it says is of no use, but its connection may be.
-                Err(outcome) => match Limited::new(body, READ_AHEAD).collect().await {
-                    Ok(_) => (Err(outcome), After::Reuse),
-                    Err(error) => match error.downcast::<hyper::Error>() {
-                        Ok(error) => return Err(*error),
-                        Err(_) => (Err(outcome), After::Close),
-                    },
-                },
+                Err(outcome) => (Err(outcome), pass_over(socket, body).await?),
             };
             let after = match after {
                 After::Stream { over, .. } => After::Stream { over, kept },
@@ -411,7 +405,11 @@
     }
 
     /// Reads an answer whole if it is small. Of a large one the first bytes do: its client is waiting for them.
-    async fn content(&self, mut body: Incoming) -> hyper::Result<(Result<Content, Outcome>, After)> {
+    async fn content(
+        &self,
+        socket: &Socket,
+        mut body: Incoming,
+    ) -> hyper::Result<(Result<Content, Outcome>, After)> {
         let length = body.size_hint().exact();
         if length.is_some_and(|length| length > LARGEST_BODY) {
             return Ok((Err(Outcome::Spoilt), After::Close));
@@ -422,11 +420,11 @@
         let (mut ahead, mut size) = (VecDeque::new(), 0);
         while size <= READ_AHEAD && !(large && size > 0) {
             let frame = match length {
-                None if size > 0 => match timeout_at(held_back, body.frame()).await {
+                None if size > 0 => match timeout_at(held_back, part(socket, &mut body)).await {
                     Ok(frame) => frame,
                     Err(_) => break,
                 },
-                _ => body.frame().await,
+                _ => part(socket, &mut body).await,
             };
             let Some(frame) = frame else {
                 let whole = ahead.into_iter().fold(BytesMut::new(), |mut whole, data: Bytes| {
@@ -440,12 +438,33 @@
                 ahead.push_back(data);
             }
         }
+        // Whoever passes it on waits only so long for the next part.
+        socket.allow_more();
         let (whole, over) = oneshot::channel();
         let download = Download::new(ahead, body, length, whole, room);
         Ok((Ok(Content::Streamed(Box::new(download))), After::Stream { over, kept: true }))
     }
 }
 
+/// The next part of a body. Guards against what hyper reads for as long as it comes, and gives to nobody: the size of a
+/// chunk that has no end.
+async fn part(socket: &Socket, body: &mut Incoming) -> Option<hyper::Result<Frame<Bytes>>> {
+    socket.allow(LARGEST_PREFACE);
+    body.frame().await
+}
+
+/// Reads a body that nobody wants, and says whether its connection can be used again: not after a large one.
+async fn pass_over(socket: &Socket, mut body: Incoming) -> hyper::Result<After> {
+    let mut size = 0;
+    while let Some(frame) = part(socket, &mut body).await {
+        size += frame?.data_ref().map_or(0, Bytes::len);
+        if size > READ_AHEAD {
+            return Ok(After::Close);
+        }
+    }
+    Ok(After::Reuse)
+}
+
 /// True if the head says once and plainly where its body ends. Guards against an answer that can't be told from
 /// a part of it, or from the one behind it.
 fn is_sound(head: &Parts) -> bool {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -75,6 +75,38 @@
     }
 }
 
+/// Guards against a chunk of which the size has no end: it would be read until its client's time is up. It begins
+/// when the head before it has been read.
+#[test]
+fn the_size_of_a_chunk_that_never_comes_to_an_end_is_spoilt() {
+    let answers = [
+        ("200 OK", "", "0"),
+        ("200 OK", "5", " "),
+        ("500 No", "", "0"),
+        ("500 No", "5", " "),
+        ("500 No", "2\r\nhi\r\n", "0"),
+    ];
+    for (status, begin, again) in answers {
+        let (listener, discovery) = (TcpListener::bind("127.0.0.1:0").unwrap(), DiscoveryPeer::start());
+        let config = patient(&config_of(&[listener.local_addr().unwrap()], discovery.address, 256));
+        let program = Program::start(&config, "127.0.0.1:0");
+        let mut client = program.client();
+        client.send("/pay", ID, "coins").unwrap();
+        let (mut stream, _) = listener.accept().unwrap();
+        let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap()));
+        assert!(request.unwrap().is_some());
+        write!(stream, "HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n\r\n{begin}").unwrap();
+        // Whoever asks now is answered after that has been read.
+        for _ in 0..2 {
+            assert_eq!(program.client().ask("/healthz", "", "").status(), 200);
+        }
+        // More than the buffers on its way take.
+        let taken = (0..400).take_while(|_| stream.write_all(again.repeat(100_000).as_bytes()).is_ok());
+        assert!(taken.count() < 400, "it is broken off: {status} {begin:?}");
+        assert_eq!(client.receive().unwrap().expect("an answer").status(), 502);
+    }
+}
+
 /// Guards against the same in a request, and against passing it on changed.
 #[test]
 fn requests_are_read_in_all_forms_byte_by_byte() {
