Ask the kernel which connections a test waits for, in place of counting all descriptors

Cause: a_request_whose_client_has_left_waits_for_no_connection, and the one beside it for a connection that comes up meanwhile, counted the program's descriptors right after an operator's call. That call's own may still be open: its end is told before it is closed. Then the count that is waited for never comes by itself.

Change: the tests wait until a connection to the upstream is awaited, and then until it is not and the client's is closed, as the kernel's table has them. The end of each is asked for by itself, as strictly as by the sum.

Where a client's end is not told to the driver the first test fails.

--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -77,14 +77,12 @@
     clients
 }
 
-/// A client whose call waits for a connection, and the descriptors that the program held before.
-fn connecting(program: &Program) -> (Client, usize) {
-    until("nothing is open", || program.figure("in_flight") == 0);
-    let before = program.descriptors();
+/// A client whose call waits for a connection to this upstream.
+fn connecting(program: &Program, upstream: SocketAddr) -> Client {
     let mut client = program.client();
     client.send("/pay", ID, "coins").unwrap();
-    until("it connects", || program.descriptors() == before + 2);
-    (client, before)
+    until("it connects", || is_awaited(upstream));
+    client
 }
 
 /// The next that reaches the upstream is a request that comes now: nothing of those that have left does.
@@ -157,11 +155,12 @@
 fn a_request_whose_client_has_left_waits_for_no_connection() {
     for cancel in [true, false] {
         for behind in BEHIND {
-            let (program, discovery) = start(&[unreachable()], cancel);
-            let _watch = discovery.next();
-            let (client, before) = connecting(&program);
+            let upstream = unreachable();
+            let (program, _discovery) = start(&[upstream], cancel);
+            let client = connecting(&program, upstream);
+            let port = client.port();
             leave(client, behind, false);
-            until("its connection is given up", || program.descriptors() == before);
+            until("its connections are closed", || !is_awaited(upstream) && !program.holds(port));
         }
     }
 }
@@ -270,7 +269,7 @@
             let door = Door::shut();
             let (program, discovery) = start(&[door.address], cancel);
             let _watch = discovery.next();
-            let (client, _) = connecting(&program);
+            let client = connecting(&program, door.address);
             program.hold();
             let all = door.waiting.len() as u64 + 1;
             let upstream = door.open(Reply::Ok);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -383,6 +383,11 @@
     address
 }
 
+/// True while somebody waits for a connection to this address to come up.
+pub fn is_awaited(address: SocketAddr) -> bool {
+    ends().iter().any(|end| end.there == address.port() && end.state == "02")
+}
+
 /// The same, until it is opened.
 pub struct Door {
     pub address: SocketAddr,
@@ -601,6 +606,11 @@
         !established().contains(&(self.address.port(), client))
     }
 
+    /// True while its end of the connection of the client with this port is open.
+    pub fn holds(&self, client: u16) -> bool {
+        ends().iter().any(|end| (end.here, end.there) == (self.address.port(), client) && end.held)
+    }
+
     pub fn go_on(&self) {
         self.signal("-CONT");
     }
@@ -640,13 +650,30 @@
     }
 }
 
-/// The ports, here and there, of all ends of connections that are up and to which no close or reset has come, as the
-/// kernel's table has them.
-fn established() -> Vec<(u16, u16)> {
+/// One end of a connection, as the kernel's table has it.
+struct End {
+    here: u16,
+    there: u16,
+    state: String,
+    /// Some process has a descriptor of it.
+    held: bool,
+}
+
+/// The kernel's table of all ends.
+fn ends() -> Vec<End> {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
     let port = |address: &str| u16::from_str_radix(address.rsplit(':').next().unwrap(), 16).unwrap();
     let rows = table.lines().skip(1).map(|line| line.split_whitespace().skip(1).collect::<Vec<_>>());
-    rows.filter(|row| row[2] == "01").map(|row| (port(row[0]), port(row[1]))).collect()
+    let end = |row: Vec<&str>| {
+        let (here, there) = (port(row[0]), port(row[1]));
+        End { here, there, state: row[2].to_string(), held: row[8] != "0" }
+    };
+    rows.map(end).collect()
+}
+
+/// The ports, here and there, of all ends of connections that are up and to which no close or reset has come.
+fn established() -> Vec<(u16, u16)> {
+    ends().into_iter().filter(|end| end.state == "01").map(|end| (end.here, end.there)).collect()
 }
 
 static IDS: AtomicU64 = AtomicU64::new(0x1000);
