--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -16,6 +16,15 @@
 /// No step of a test takes longer, also on a busy machine; whoever waits for so long has failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Waits until this holds; whatever it waits for has to come.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "{what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
 /// A request or an answer as read off a socket.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -353,6 +362,20 @@
     )
 }
 
+/// One that knows these upstreams, named `u0`, `u1` and so on.
+pub fn config_of(upstreams: &[SocketAddr], discovery: SocketAddr, sockets: usize) -> String {
+    let entries = upstreams.iter().enumerate();
+    let entries: Vec<_> = entries.map(|(n, a)| endpoint(&format!("u{n}"), *a, "in_service")).collect();
+    config(&list(5, true, &entries), discovery, sockets)
+}
+
+/// The same with calls and connections that are waited for longer than any test.
+pub fn patient(config: &str) -> String {
+    config
+        .replace("\"aim\":5.0,\"hardLimit\":10.0", "\"aim\":200.0,\"hardLimit\":400.0")
+        .replace("Timeout\":1.0", "Timeout\":60.0")
+}
+
 /// An address that never lets a connection come up: its queue of connections is full and nobody takes them.
 pub fn unreachable() -> SocketAddr {
     let Door { address, listener, waiting } = Door::shut();
@@ -360,6 +383,11 @@
     address
 }
 
+/// True while somebody waits for a connection to this address to come up.
+pub fn is_awaited(address: SocketAddr) -> bool {
+    ends().iter().any(|end| end.there == address.port() && end.state == "02")
+}
+
 /// The same, until it is opened.
 pub struct Door {
     pub address: SocketAddr,
@@ -505,10 +533,13 @@
 
     /// A program with a console and these upstreams.
     pub fn with_console(upstreams: &[SocketAddr]) -> (Self, DiscoveryPeer) {
+        Self::with_console_and(upstreams, 256)
+    }
+
+    /// The same with so many descriptors.
+    pub fn with_console_and(upstreams: &[SocketAddr], sockets: usize) -> (Self, DiscoveryPeer) {
         let discovery = DiscoveryPeer::start();
-        let entries = upstreams.iter().enumerate();
-        let entries: Vec<_> = entries.map(|(n, a)| endpoint(&format!("u{n}"), *a, "in_service")).collect();
-        let config = config(&list(5, true, &entries), discovery.address, 256);
+        let config = config_of(upstreams, discovery.address, sockets);
         (Self::start_with(&[("PROXY_CONSOLE", "127.0.0.1:0")], &config, "127.0.0.1:0"), discovery)
     }
 
@@ -540,10 +571,7 @@
 
     pub fn with_sockets(upstreams: &[SocketAddr], sockets: usize) -> (Self, DiscoveryPeer) {
         let discovery = DiscoveryPeer::start();
-        let entries = upstreams.iter().enumerate();
-        let entries: Vec<_> = entries.map(|(n, a)| endpoint(&format!("u{n}"), *a, "in_service")).collect();
-        let config = config(&list(5, true, &entries), discovery.address, sockets);
-        (Self::start(&config, "127.0.0.1:0"), discovery)
+        (Self::start(&config_of(upstreams, discovery.address, sockets), "127.0.0.1:0"), discovery)
     }
 
     pub fn id(&self) -> u32 {
@@ -578,6 +606,11 @@
         !established().contains(&(self.address.port(), client))
     }
 
+    /// True while its end of the connection of the client with this port is open.
+    pub fn holds(&self, client: u16) -> bool {
+        ends().iter().any(|end| (end.here, end.there) == (self.address.port(), client) && end.held)
+    }
+
     pub fn go_on(&self) {
         self.signal("-CONT");
     }
@@ -617,13 +650,30 @@
     }
 }
 
-/// The ports, here and there, of all ends of connections that are up and to which no close or reset has come, as the
-/// kernel's table has them.
-fn established() -> Vec<(u16, u16)> {
+/// One end of a connection, as the kernel's table has it.
+struct End {
+    here: u16,
+    there: u16,
+    state: String,
+    /// Some process has a descriptor of it.
+    held: bool,
+}
+
+/// The kernel's table of all ends.
+fn ends() -> Vec<End> {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
     let port = |address: &str| u16::from_str_radix(address.rsplit(':').next().unwrap(), 16).unwrap();
     let rows = table.lines().skip(1).map(|line| line.split_whitespace().skip(1).collect::<Vec<_>>());
-    rows.filter(|row| row[2] == "01").map(|row| (port(row[0]), port(row[1]))).collect()
+    let end = |row: Vec<&str>| {
+        let (here, there) = (port(row[0]), port(row[1]));
+        End { here, there, state: row[2].to_string(), held: row[8] != "0" }
+    };
+    rows.map(end).collect()
+}
+
+/// The ports, here and there, of all ends of connections that are up and to which no close or reset has come.
+fn established() -> Vec<(u16, u16)> {
+    ends().into_iter().filter(|end| end.state == "01").map(|end| (end.here, end.there)).collect()
 }
 
 static IDS: AtomicU64 = AtomicU64::new(0x1000);
