Count upstreams left out behind a stale list among those that operators see excluded

Seen on reading: excluded() looked at what operators have left out and at what is ejected, not at an upstream that is taken to drain since, so upstreams_excluded told too few. Change: whatever the list would let have calls and is not on counts.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -170,7 +170,8 @@
 
     /// Upstreams of the list that get no call of any class now, though the list would let them.
     pub fn excluded(&self) -> usize {
-        let avoided = |u: &&Upstream| u.out || (0..self.cfg.classes.len()).all(|class| !self.fit(u, class));
+        let avoided =
+            |u: &&Upstream| !u.is_on() || (0..self.cfg.classes.len()).all(|class| !self.fit(u, class));
         let on = self.upstreams.values().filter(|u| u.entry.state == UpstreamState::On);
         on.filter(avoided).count()
     }
