Count suspected upstreams only where one turns all away behind a stale list

suspect_drain went over all upstreams at each outcome, also where lists are pushed and none is ever suspected. Now the outcome itself and the list's state are looked at first.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -573,11 +573,11 @@
     /// Guards against an upstream that drains while the list can't be heard: one that turns away call after
     /// call is taken at its word until then. Not where so many do: they are crowded.
     fn suspect_drain(&mut self, upstream: UpstreamId, outcome: Outcome, actions: &mut Vec<Action>) {
-        let suspected = self.upstreams.values().filter(|u| u.suspected).count() as f64;
-        let few = suspected < PANIC_SHARE * (self.turns.order.len() as f64 + suspected);
-        let Some(u) = self.upstreams.get_mut(&upstream) else { return };
-        if u.turns_all_away(outcome) && u.is_on() && few && self.asking.is_stale() {
-            u.suspected = true;
+        let away = self.upstreams.get_mut(&upstream).is_some_and(|u| u.turns_all_away(outcome) && u.is_on());
+        let suspected = || self.upstreams.values().filter(|u| u.suspected).count() as f64;
+        let few = |n: f64| n < PANIC_SHARE * (self.turns.order.len() as f64 + n);
+        if away && self.asking.is_stale() && few(suspected()) {
+            self.upstreams.entry(upstream).and_modify(|u| u.suspected = true);
             let text = "left out until the list is heard, as it turns all away".into();
             actions.push(Action::Log { upstream: Some(upstream), text });
             self.relist(actions);
