--- /dev/null
+++ b/tests/faults/faults.c
@@ -0,0 +1,102 @@
+/*
+ * Makes system calls of a program under test fail, and its wall clock differ. Loaded with LD_PRELOAD.
+ *
+ * FAULTS       comma-separated `call:error:first:every:times`: of the calls of this name the one numbered `first`, and
+ *              then each `every`-th, fail with the error number `error`, `times` times in all. A negative `error` delays
+ *              the call by so many milliseconds in place of failing it. `write` counts for regular files only, `socket` and
+ *              `connect` for IPv4 only.
+ * FAULTS_WALL  seconds by which the wall clock is ahead.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+enum { MOST_FAULTS = 16 };
+
+static struct fault {
+    char call[16];
+    long error, first, every, times;
+    long seen, done;
+} faults[MOST_FAULTS];
+static int count;
+
+__attribute__((constructor)) static void read_faults(void) {
+    const char *text = getenv("FAULTS");
+    for (; text && *text && count < MOST_FAULTS; count++) {
+        struct fault *f = &faults[count];
+        if (sscanf(text, "%15[^:]:%ld:%ld:%ld:%ld", f->call, &f->error, &f->first, &f->every, &f->times) != 5)
+            abort();
+        text = strchr(text, ',');
+        text = text ? text + 1 : NULL;
+    }
+}
+
+/* Whether this call is to fail; sets errno, or delays the call. */
+static int fails(const char *call) {
+    long error = 0;
+    for (int i = 0; i < count; i++) {
+        struct fault *f = &faults[i];
+        if (strcmp(f->call, call) != 0)
+            continue;
+        long number = __atomic_add_fetch(&f->seen, 1, __ATOMIC_SEQ_CST);
+        if (number < f->first || (number - f->first) % f->every != 0 || f->done >= f->times)
+            continue;
+        f->done++;
+        error = f->error;
+    }
+    if (error < 0) {
+        struct timespec delay = {-error / 1000, -error % 1000 * 1000000};
+        nanosleep(&delay, NULL);
+    } else if (error > 0) {
+        errno = (int)error;
+    }
+    return error > 0;
+}
+
+static int is_file(int fd) {
+    struct stat about;
+    return fstat(fd, &about) == 0 && S_ISREG(about.st_mode);
+}
+
+#define WRAP(type, name, parameters, arguments, counts)     \
+    type name parameters {                                  \
+        static type(*real) parameters;                      \
+        if (!real)                                          \
+            real = (type(*) parameters)dlsym(RTLD_NEXT, #name); \
+        if ((counts) && fails(#name))                       \
+            return -1;                                      \
+        return real arguments;                              \
+    }
+
+WRAP(int, socket, (int domain, int type, int protocol), (domain, type, protocol), domain == AF_INET)
+WRAP(int, accept4, (int fd, struct sockaddr *to, socklen_t *size, int flags), (fd, to, size, flags), 1)
+WRAP(int, connect, (int fd, const struct sockaddr *to, socklen_t size), (fd, to, size), to->sa_family == AF_INET)
+WRAP(int, bind, (int fd, const struct sockaddr *to, socklen_t size), (fd, to, size), 1)
+WRAP(int, poll, (struct pollfd *fds, nfds_t number, int timeout), (fds, number, timeout), timeout == 0)
+WRAP(int, epoll_wait, (int fd, struct epoll_event *events, int most, int timeout), (fd, events, most, timeout), 1)
+WRAP(ssize_t, recv, (int fd, void *bytes, size_t size, int flags), (fd, bytes, size, flags), 1)
+WRAP(ssize_t, send, (int fd, const void *bytes, size_t size, int flags), (fd, bytes, size, flags), 1)
+WRAP(ssize_t, writev, (int fd, const struct iovec *parts, int number), (fd, parts, number), 1)
+WRAP(ssize_t, write, (int fd, const void *bytes, size_t size), (fd, bytes, size), is_file(fd))
+WRAP(int, rename, (const char *from, const char *to), (from, to), 1)
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    static int (*real)(clockid_t, struct timespec *);
+    if (!real)
+        real = (int (*)(clockid_t, struct timespec *))dlsym(RTLD_NEXT, "clock_gettime");
+    int result = real(clock, now);
+    const char *ahead = getenv("FAULTS_WALL");
+    if (ahead && clock == CLOCK_REALTIME)
+        now->tv_sec += atol(ahead);
+    return result;
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -9,7 +9,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -460,6 +460,19 @@
 
 static FILES: AtomicU64 = AtomicU64::new(0);
 
+/// The library that makes system calls of a program fail; see there for its variables.
+pub fn failing_calls() -> &'static str {
+    static LIBRARY: OnceLock<String> = OnceLock::new();
+    LIBRARY.get_or_init(|| {
+        let library = format!("{}/faults-{}.so", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/faults/faults.c");
+        let built =
+            Command::new("cc").args(["-shared", "-fPIC", "-O1", "-o", &library, source, "-ldl"]).status();
+        assert!(built.unwrap().success(), "the C compiler that links the program builds this too");
+        library
+    })
+}
+
 /// Starts the program on a configuration, without waiting for it.
 pub fn spawn(config: &str, listen: &str) -> Child {
     spawn_with(&[], &write_config(config), listen)
