Close no client because one call to accept has failed

Cause: Server::accept made room and slept on every error, so that ECONNABORTED, EINTR, ENOBUFS or a passing ENFILE closed a client that had connected and not asked yet; Server::close gave up the rest of the backlog at the first error that was neither EINTR nor EWOULDBLOCK, which reset it. Ruled out: the budget of descriptors (256, 14 held). Change: an error that speaks of one connection is passed over; a shortage is waited out, and room is made only for EMFILE that lasts; closing waits out shortages until all is to be settled. Result: both tests of tests/failing_calls.rs pass, and fail without the change.

--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -153,13 +153,14 @@
 /// Goes on accepting for a while, unless a new process takes the clients' connections, then until the kernel holds no
 /// more, and closes the listener.
 async fn drain(server: &Rc<Server>, listener: TcpListener, replaced: bool, longest: Duration) {
-    server.drain(Instant::now() + last_moment(longest));
+    let settled = Instant::now() + last_moment(longest);
+    server.drain(settled);
     let still_accept = still_accept(longest);
     if !replaced {
         // The end of the time is what is waited for.
         let _ = timeout(still_accept, server.accept(&listener)).await;
     }
-    if let Err(error) = server.close(listener).await {
+    if let Err(error) = server.close(listener, settled).await {
         log::line(format!("close: {error}"));
     }
     if replaced {
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -3,7 +3,7 @@
 use crate::bodies::{Broken, Memory, Reply, Upload, CLIENT_STALL};
 use crate::driver::{Driver, Final, Taken, Untaken};
 use crate::log;
-use crate::socket::{Budget, Purpose, Socket};
+use crate::socket::{is_own_limit, is_shortage, Budget, Purpose, Socket};
 use crate::stats::{Ending, Stats};
 use crate::upstream::{end_to_end, Content, Forward};
 use bytes::Bytes;
@@ -57,8 +57,10 @@
 const LONGEST_ID: usize = 128;
 /// Whether a client that has left has a request that waits is looked up this often.
 const LOOK: Duration = Duration::from_millis(50);
-/// After a failed accept (no descriptor, say) the next try comes this much later.
+/// After an accept that failed for want of something the next try comes this much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
+/// So many such failures in a row are no passing shortage: descriptors have to be given back.
+const LASTING_SHORTAGE: u32 = 10;
 
 /// A client's connection, as far as others need to see it.
 struct Client {
@@ -245,23 +247,35 @@
 
     /// Takes connections until dropped.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        let mut sparse = Instant::now() - IDLE;
+        let mut shortages = 0_u32;
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.admit(stream).await,
-                // Guards against a busy loop and against an end when descriptors run out.
-                Err(error) => {
-                    self.make_room().await;
-                    if sparse.elapsed() > IDLE {
-                        sparse = Instant::now();
-                        log::line(format!("accept: {error}"));
-                    }
-                    sleep(ACCEPT_AGAIN).await;
+                Ok((stream, _)) => {
+                    shortages = shortages.saturating_sub(1);
+                    self.admit(stream).await;
+                }
+                Err(error) if is_shortage(&error) => {
+                    shortages += 1;
+                    self.wait_out(shortages, &error).await;
                 }
+                // One connection has failed before it was taken, or the call was interrupted: the next may be there.
+                Err(_) => yield_now().await,
             }
         }
     }
 
+    /// Waits before the next accept. A passing shortage must not cost other clients their connections; where the
+    /// process itself holds too many descriptors for long, one is closed.
+    async fn wait_out(&self, shortages: u32, error: &io::Error) {
+        if shortages % LASTING_SHORTAGE == 1 {
+            log::line(format!("accept: {error}"));
+        }
+        if shortages >= LASTING_SHORTAGE && is_own_limit(error) {
+            self.make_room().await;
+        }
+        sleep(ACCEPT_AGAIN).await;
+    }
+
     /// Answers with `Connection: close` from now on, and closes what is idle. A connection that is new is
     /// left alone: its first request is on its way, and is settled by `settled`.
     pub fn drain(&self, settled: Instant) {
@@ -304,19 +318,28 @@
         self.listens.set(true);
     }
 
-    /// Takes all connections that the kernel has taken for this listener, and closes it. Guards against those that
-    /// would be reset with it: what is there is asked of the kernel, as the event loop may know less.
-    pub async fn close(self: &Rc<Self>, listener: TcpListener) -> io::Result<()> {
+    /// Takes all connections that the kernel has taken for this listener, and closes it; not later than `until`.
+    /// Those that are still in its queue when it closes are reset. What is there is asked of the kernel, as the event
+    /// loop may know less.
+    pub async fn close(self: &Rc<Self>, listener: TcpListener, until: Instant) -> io::Result<()> {
         let listener = listener.into_std()?;
+        let mut shortages = 0_u32;
         loop {
             match listener.accept() {
                 Ok((stream, _)) => {
-                    stream.set_nonblocking(true)?;
-                    self.admit(TcpStream::from_std(stream)?).await;
+                    let registered = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    match registered {
+                        Ok(stream) => self.admit(stream).await,
+                        Err(error) => log::line(format!("a connection can't be served: {error}")),
+                    }
                 }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(error) => return Err(error),
+                Err(error) if Instant::now() >= until => return Err(error),
+                Err(error) if is_shortage(&error) => {
+                    shortages += 1;
+                    self.wait_out(shortages, &error).await;
+                }
+                Err(_) => {}
             }
         }
     }
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -2,7 +2,7 @@
 
 use crate::stats::Stats;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use nix::libc::POLLRDHUP;
+use nix::libc::{self, POLLRDHUP};
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::SockRef;
 use std::cell::{Cell, Ref, RefCell};
@@ -41,6 +41,17 @@
 /// This part of what is left is for upstreams alone.
 const UPSTREAM_PART: f64 = 0.4;
 
+/// True for an error of the system that says that this process or machine is short of descriptors, buffers or memory.
+pub fn is_shortage(error: &io::Error) -> bool {
+    const SHORTAGES: [i32; 4] = [libc::ENFILE, libc::EMFILE, libc::ENOBUFS, libc::ENOMEM];
+    error.raw_os_error().is_some_and(|number| SHORTAGES.contains(&number))
+}
+
+/// True for the error that says that this process holds as many descriptors as it may.
+pub fn is_own_limit(error: &io::Error) -> bool {
+    error.raw_os_error() == Some(libc::EMFILE)
+}
+
 /// What a socket is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -31,10 +31,11 @@
     for error in [ECONNABORTED, ENOBUFS, EINTR, ENFILE, EMFILE] {
         let upstream = Upstream::start(Reply::Ok);
         let (program, _discovery) = start(&format!("accept4:{error}:1:3:{ALWAYS}"), &[upstream.address], 256);
+        let before = program.descriptors();
         let mut clients = Vec::new();
-        for _ in 0..12 {
+        for number in 1..=12 {
             let client = program.client();
-            until("it is taken", || program.holds(client.port()));
+            until("it is taken", || program.descriptors() >= before + number);
             clients.push(client);
         }
         for client in &mut clients {
