--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -7,8 +7,12 @@
 const ID: &str = "Request-Id: {id}\r\n";
 
 const EINTR: i32 = 4;
+const EAGAIN: i32 = 11;
+const ENOMEM: i32 = 12;
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
+const EADDRNOTAVAIL: i32 = 99;
+const ENETUNREACH: i32 = 101;
 const ECONNABORTED: i32 = 103;
 const ENOBUFS: i32 = 105;
 
@@ -63,3 +67,36 @@
         assert!(program.wait().success());
     }
 }
+
+/// Errors of connect that speak of this machine cost no request its answer, and no upstream its turns.
+#[test]
+fn a_connect_that_fails_for_a_moment_costs_no_answer_and_no_upstream_its_turns() {
+    let calls =
+        [("connect", EINTR), ("connect", EADDRNOTAVAIL), ("connect", ENETUNREACH), ("connect", EAGAIN)];
+    let calls = calls.into_iter().chain([("connect", ENOMEM), ("socket", ENOBUFS), ("socket", ENFILE)]);
+    for (call, error) in calls {
+        // Each request on a connection of its own.
+        let upstreams: Vec<_> = (0..3).map(|_| Upstream::start(Reply::OkThenClose)).collect();
+        let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
+        // The first calls are those of the start.
+        let (program, _discovery) = start(&format!("{call}:{error}:5:2:{ALWAYS}"), &addresses, 256);
+        let mut client = program.client();
+        for _ in 0..60 {
+            assert_eq!(client.ask("/pay", ID, "coins").status(), 200, "{call}, error {error}");
+        }
+        for upstream in &upstreams {
+            let seen = upstream.seen.try_iter().count();
+            assert!((15..=25).contains(&seen), "{seen} calls of 60 at one of three, {call}, error {error}");
+        }
+    }
+}
+
+/// A socket that can't be had for a moment keeps no process from starting.
+#[test]
+fn a_start_outlasts_sockets_that_fail_for_a_moment() {
+    for error in [ENFILE, EMFILE, ENOBUFS, ENOMEM] {
+        let upstream = Upstream::start(Reply::Ok);
+        let (program, _discovery) = start(&format!("socket:{error}:1:1:6"), &[upstream.address], 256);
+        assert_eq!(program.client().ask("/read", ID, "").status(), 200, "error {error}");
+    }
+}
