Try a connect or a listener again that failed for want of something here

Cause: Pool::connect told the module that the upstream could not be reached for every error but ENFILE and EMFILE (OUT_OF_DESCRIPTORS), so that EINTR, EADDRNOTAVAIL, ENETUNREACH, EAGAIN, ENOBUFS and ENOMEM counted as its failures and ejected it; ENFILE gave the request up (503) at once. A first connect to discovery that failed so was made again only 0.5 s later. A listener that could not be had at once ended the process. Change: Socket::connect tries again every 5 ms until its limit where the error speaks of this machine; the last such error counts then, as before. server::listen waits out a shortage for 4 s.

--- a/src/bin/magpiechute/discovery.rs
+++ b/src/bin/magpiechute/discovery.rs
@@ -13,7 +13,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout, Instant, Sleep};
+use tokio::time::{sleep, Instant, Sleep};
 
 /// Where lists are asked for, discovery lets calls wait in turn: beside one whose first news take this long another is
 /// made. What discovery has counts as told 6 s later, whatever became of the call before: this, a call that waits 2 s
@@ -82,10 +82,9 @@
 async fn follow(driver: &RefCell<Driver>, budget: &Rc<Budget>, watch: &Watch) -> String {
     let Watch { number, address, since, asked } = *watch;
     let Some(permit) = budget.take(Purpose::Discovery) else { return "no descriptor is free".into() };
-    let socket = match timeout(CONNECT, Socket::connect(address, permit)).await {
-        Ok(Ok(socket)) => socket,
-        Ok(Err(error)) => return format!("connect: {error}"),
-        Err(_) => return "connect: no answer".into(),
+    let socket = match Socket::connect(address, permit, CONNECT).await {
+        Ok(socket) => socket,
+        Err(error) => return format!("connect: {error}"),
     };
     let (mut sender, connection) = match http1::handshake::<_, Empty<Bytes>>(socket).await {
         Ok(pair) => pair,
--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -74,10 +74,14 @@
     let config = Config::load()?;
     let (name, address, sockets) = (config.name.clone(), config.listen, config.sockets);
     let budget = Budget::new(sockets, config.console.is_some());
-    let admin = config.console.map(|address| {
-        server::listen(address, false).map_err(|error| format!("listen on {address} for operators: {error}"))
-    });
-    let admin = admin.transpose()?;
+    let admin = match config.console {
+        Some(address) => Some(
+            server::listen(address, false)
+                .await
+                .map_err(|error| format!("listen on {address} for operators: {error}"))?,
+        ),
+        None => None,
+    };
     let longest = config.settings.classes.iter().fold(0.0, |longest: f64, c| longest.max(c.deadline));
     let driver = Driver::start(config, budget.clone())?;
     let server = Server::new(driver.clone(), budget.clone());
@@ -113,7 +117,8 @@
         _ = terminate.recv() => return Ok(()),
         _ = interrupt.recv() => return Ok(()),
     }
-    let listener = server::listen(address, true).map_err(|error| format!("listen on {address}: {error}"))?;
+    let listener =
+        server::listen(address, true).await.map_err(|error| format!("listen on {address}: {error}"))?;
     let address = listener.local_addr()?;
     server.open();
     upgrade.settle(address);
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -57,6 +57,10 @@
 const LONGEST_ID: usize = 128;
 /// Whether a client that has left has a request that waits is looked up this often.
 const LOOK: Duration = Duration::from_millis(50);
+/// A listener that can't be had for want of something is tried for again this much later,
+const LISTEN_AGAIN: Duration = Duration::from_millis(20);
+/// and for so long: a process is to be ready a few seconds after its start.
+const LISTEN_PATIENCE: Duration = Duration::from_secs(4);
 /// After an accept that failed for want of something the next try comes this much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 /// So many such failures in a row are no passing shortage: descriptors have to be given back.
@@ -218,8 +222,18 @@
 }
 
 /// Listens; an address that a killed predecessor held can be taken at once, and one that is `shared` beside a process
-/// that shares it as well.
-pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+/// that shares it as well. A passing shortage of descriptors or memory is waited out.
+pub async fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let until = Instant::now() + LISTEN_PATIENCE;
+    loop {
+        match try_listen(address, shared) {
+            Err(error) if is_shortage(&error) && Instant::now() < until => sleep(LISTEN_AGAIN).await,
+            result => return result,
+        }
+    }
+}
+
+fn try_listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.set_reuseport(shared)?;
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -18,7 +18,7 @@
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Descriptors that are no sockets of ours: standard streams, the event loop, the listener, signals.
 const OTHER_FILES: usize = 16;
@@ -29,6 +29,8 @@
 const DISCOVERY: usize = 5;
 /// Kept free for the admin endpoint, where there is one: whatever the load is, operators get through.
 const ADMIN: usize = 12;
+/// A connect that failed for want of something here is tried again this much later.
+const CONNECT_AGAIN: Duration = Duration::from_millis(5);
 /// So much of what came last from a client is kept: a head as it came, as a rule.
 const RECENT: usize = 8 << 10;
 /// So much is read ahead of one connection: clients may send many requests at once,
@@ -47,6 +49,14 @@
     error.raw_os_error().is_some_and(|number| SHORTAGES.contains(&number))
 }
 
+/// True for an error of connect that says nothing of the other side: this machine lacks something for the moment, a
+/// local port or a route included, or the call was interrupted.
+fn is_local(error: &io::Error) -> bool {
+    const LOCAL: [i32; 6] =
+        [libc::EINTR, libc::EAGAIN, libc::EADDRINUSE, libc::EADDRNOTAVAIL, libc::ENETDOWN, libc::ENETUNREACH];
+    is_shortage(error) || error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
+}
+
 /// True for the error that says that this process holds as many descriptors as it may.
 pub fn is_own_limit(error: &io::Error) -> bool {
     error.raw_os_error() == Some(libc::EMFILE)
@@ -198,9 +208,20 @@
 }
 
 impl Socket {
-    /// Opens a connection; the caller sets the time limit.
-    pub async fn connect(address: SocketAddr, permit: Permit) -> io::Result<Self> {
-        Ok(Self::new(TcpStream::connect(address).await?, permit))
+    /// Opens a connection within this time. Until then it is tried again where this machine is at fault; that error
+    /// is what is returned if it lasts.
+    pub async fn connect(address: SocketAddr, permit: Permit, limit: Duration) -> io::Result<Self> {
+        let until = Instant::now() + limit;
+        loop {
+            match timeout_at(until, TcpStream::connect(address)).await {
+                Ok(Ok(stream)) => return Ok(Self::new(stream, permit)),
+                Ok(Err(error)) if is_local(&error) && Instant::now() + CONNECT_AGAIN < until => {
+                    sleep(CONNECT_AGAIN).await;
+                }
+                Ok(Err(error)) => return Err(error),
+                Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+            }
+        }
     }
 
     /// A client's connection, of which the bytes that came last are kept.
--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -1,7 +1,7 @@
 //! Attempts at upstreams, and the idle connections that they leave behind.
 
 use crate::bodies::{Download, Memory, Sending, Upload, HELD_BACK, LARGEST_BODY, READ_AHEAD};
-use crate::socket::{Budget, Peer, Purpose, Socket};
+use crate::socket::{is_shortage, Budget, Peer, Purpose, Socket};
 use crate::stats::Stats;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -14,13 +14,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::future::pending;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// The head of an answer.
 const LARGEST_HEAD: usize = 16 << 10;
@@ -31,8 +30,6 @@
 const MARGIN: f64 = 0.1;
 /// Idle connections that are kept to one upstream: it holds only so many, from all balancers.
 const MOST_IDLE: usize = 8;
-/// Errors of the system that say that the process or the machine has no descriptor left.
-const OUT_OF_DESCRIPTORS: [Option<i32>; 2] = [Some(23), Some(24)];
 
 /// The headers that go through a balancer: not those of one connection only, nor those that describe the body,
 /// which are set anew.
@@ -201,12 +198,12 @@
         });
         // Guards against resting an upstream because we have no descriptor: that is no news of it.
         let permit = permit.ok_or(Outcome::NotSent)?;
-        let connected = timeout(self.connect_timeout, Socket::connect(address, permit)).await;
-        match connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
-            Ok(socket) => Ok(socket),
-            Err(error) if OUT_OF_DESCRIPTORS.contains(&error.raw_os_error()) => Err(Outcome::NotSent),
-            Err(_) => Err(Outcome::ConnectFailed),
-        }
+        Socket::connect(address, permit, self.connect_timeout).await.map_err(|error| {
+            match is_shortage(&error) {
+                true => Outcome::NotSent,
+                false => Outcome::ConnectFailed,
+            }
+        })
     }
 }
 
