Count how long an upstream is cold from when its start was heard of

Cause: warm_share compared since_ms with a wall clock that was read once, in Clock::new. With that clock 100 s or an hour ahead a restarted upstream got 48 of 200 calls in place of its cold share; with it behind, 2 of 200 long after it was warm. Ruled out: deadlines, waits and timers, which are all spans of the monotonic clock already. Change: src/starts.rs turns a start into a moment of the balancer's own clock. One that discovery tells counts from when it was heard, less what it is later than the promptest one so far; one of the known list goes by the wall clock, but lies never ahead. What is left for a new process is moved onto its clock, by the age of the file (src/recall.rs, which has Knowledge now). Left: a process that starts with its wall clock ahead takes upstreams of its known list that started just before for warm. Tests: a_cold_upstream_takes_its_warm_share_of_turns let the list tell of a start long past to make it old; it lets the time pass now, with the same bounds. the_age_of_an_upstream_is_not_taken_from_a_clock_that_may_be_wrong and tests/clocks.rs fail without the change.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,6 +6,7 @@
 
 use crate::asking::{Asking, SUBSCRIBE};
 use crate::interface::*;
+use crate::starts::Starts;
 use crate::state::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -60,11 +61,11 @@
 
 /// One balancer.
 pub struct Balancer {
-    cfg: Settings,
+    pub(crate) cfg: Settings,
     rng: Pcg64Mcg,
-    now: f64,
-    upstreams: BTreeMap<UpstreamId, Upstream>,
-    turns: Turns,
+    pub(crate) now: f64,
+    pub(crate) upstreams: BTreeMap<UpstreamId, Upstream>,
+    pub(crate) turns: Turns,
     calls: BTreeMap<RequestId, Call>,
     /// Calls that came while no upstream was listed.
     unplaced: VecDeque<RequestId>,
@@ -72,11 +73,12 @@
     out: BTreeMap<UpstreamId, f64>,
     /// Those put back: when, and whether they have had no call since.
     back: BTreeMap<UpstreamId, (f64, bool)>,
-    usual: Vec<Usual>,
-    rates: Vec<Rate>,
+    pub(crate) usual: Vec<Usual>,
+    pub(crate) rates: Vec<Rate>,
     retries: f64,
-    strain: f64,
+    pub(crate) strain: f64,
     asking: Asking,
+    starts: Starts,
     idle: IdleTrust,
 }
 
@@ -100,6 +102,7 @@
             retries: 1.0,
             strain: 0.0,
             asking: Asking::default(),
+            starts: Starts::default(),
             idle: IdleTrust { trust: most, at: now, doubt: 0.0, doubted: most },
             cfg: settings,
         })
@@ -127,47 +130,6 @@
         (self.calls.len(), slots, self.upstreams.len())
     }
 
-    /// What has been learned so far.
-    pub fn knowledge(&self) -> Knowledge {
-        let learned =
-            |(id, u): (&UpstreamId, &Upstream)| (id.0, (u.entry.since, u.returned, u.learned.clone()));
-        Knowledge {
-            at: self.now,
-            upstreams: self.upstreams.iter().map(learned).collect(),
-            usual: self.usual.clone(),
-            rates: self.rates.clone(),
-            paces: self.turns.paces.clone(),
-            subset: self.turns.subset,
-            pass: self.turns.pass,
-            met_crowd: self.turns.met_crowd,
-            strain: self.strain,
-        }
-    }
-
-    /// Takes over what another balancer with these settings has learned. Guards against learning anew, at the
-    /// cost of calls, what the process before knew. What is older than the time in which an upstream warms up
-    /// says nothing any more, nor does what is known of an upstream that has started again.
-    pub fn recall(&mut self, now: f64, knowledge: Knowledge) {
-        self.now = self.now.max(now);
-        let classes = self.cfg.classes.len();
-        let fits = knowledge.usual.len() == classes && knowledge.rates.len() == self.cfg.tenants.len();
-        // Their clocks may differ a little.
-        if !fits || (self.now - knowledge.at).abs() >= self.cfg.rules.cold {
-            return;
-        }
-        for (id, (since, returned, learned)) in knowledge.upstreams {
-            let listed = self.upstreams.get_mut(&UpstreamId(id)).filter(|u| u.entry.since == since);
-            if let Some(u) = listed.filter(|_| learned.health.len() == classes + 1 && learned.width > 0.0) {
-                (u.returned, u.learned) = (returned, learned);
-            }
-        }
-        (self.usual, self.rates, self.strain) = (knowledge.usual, knowledge.rates, knowledge.strain);
-        self.turns.paces = knowledge.paces;
-        (self.turns.pass, self.turns.met_crowd) = (knowledge.pass, knowledge.met_crowd);
-        let most = (self.turns.order.len() as f64).max(self.turns.least_subset);
-        self.turns.subset = knowledge.subset.clamp(self.turns.least_subset, most);
-    }
-
     /// Upstreams of the list that get no call of any class now, though the list would let them.
     pub fn excluded(&self) -> usize {
         let avoided =
@@ -191,6 +153,7 @@
             // still frees its slots by its own outcomes.
             if u.learned.width == 0.0 || u.entry.since != entry.since {
                 (u.learned, u.returned) = (fresh, 0.0);
+                u.started = self.starts.began(entry.since, scope, self.now);
             }
             u.out = self.out.contains_key(&entry.id);
             u.entry = entry;
@@ -212,7 +175,7 @@
         let Some(u) = self.upstreams.get_mut(&upstream).filter(|u| u.out != out) else { return };
         u.out = out;
         if !out {
-            u.returned = if u.entry.since < left { self.now } else { 0.0 };
+            u.returned = if u.started < left { self.now } else { 0.0 };
             u.learned = fresh;
         }
         self.relist(actions);
--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -291,9 +291,9 @@
         self.balancer.knowledge()
     }
 
-    /// Gives the module what the one before has learned.
-    pub fn recall(&mut self, knowledge: Knowledge) {
-        self.balancer.recall(self.clock.at(Instant::now()), knowledge);
+    /// Gives the module what the one before has learned and written down this long ago.
+    pub fn recall(&mut self, age: Duration, knowledge: Knowledge) {
+        self.balancer.recall(self.clock.at(Instant::now()), age.as_secs_f64(), knowledge);
     }
 
     /// The request classes.
--- a/src/bin/magpiechute/upgrade.rs
+++ b/src/bin/magpiechute/upgrade.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::OwnedReadHalf;
 use tokio::net::{UnixListener, UnixStream};
@@ -38,6 +38,10 @@
     /// What the module has learned.
     #[serde(default)]
     knowledge: Knowledge,
+    /// How long ago it was written, where it was read. The file's own time tells: the wall clocks that two processes
+    /// read at their starts may differ.
+    #[serde(skip)]
+    age: Option<Duration>,
 }
 
 /// What one process tells the other, a line each.
@@ -105,15 +109,15 @@
         let Some(path) = self.path("state") else { return Ok(()) };
         let out = self.driver.borrow().left_out().map(str::to_string).collect();
         let knowledge = self.driver.borrow().knowledge();
-        State { balancer: self.address.get().to_string(), out, knowledge }.write(&path)
+        State { balancer: self.address.get().to_string(), out, knowledge, age: None }.write(&path)
     }
 
     /// Does what the operators have said to the other process, or the one before.
-    fn restore(&self) -> Option<Knowledge> {
+    fn restore(&self) -> Option<State> {
         match State::read(&self.path("state")?, self.address.get()) {
             Ok(state) => {
                 self.driver.borrow_mut().leave_out(&state.out);
-                Some(state.knowledge)
+                Some(state)
             }
             Err(why) => {
                 log::line(format!("nothing is known of a process before: {why}"));
@@ -139,8 +143,8 @@
             }
         }
         // Only now: what it knew when it heard of this process stands in the file, and what changes after that is told.
-        if let Some(knowledge) = self.restore() {
-            self.driver.borrow_mut().recall(knowledge);
+        if let Some(State { knowledge, age: Some(age), .. }) = self.restore() {
+            self.driver.borrow_mut().recall(age, knowledge);
         }
     }
 
@@ -249,8 +253,10 @@
 
     fn read(path: &Path, address: SocketAddr) -> Result<Self, String> {
         let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        let state: State =
+        let mut state: State =
             serde_json::from_slice(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+        let written = std::fs::metadata(path).and_then(|about| about.modified());
+        state.age = written.ok().and_then(|written| SystemTime::now().duration_since(written).ok());
         match state.balancer == address.to_string() {
             true => Ok(state),
             false => Err(format!("{} is of the balancer at {}", path.display(), state.balancer)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,9 +53,11 @@
 mod asking;
 pub mod balance;
 pub mod interface;
+mod recall;
+mod starts;
 mod state;
 pub mod wire;
 
 pub use balance::Balancer;
 pub use interface::*;
-pub use state::Knowledge;
+pub use recall::Knowledge;
--- a/src/state.rs
+++ b/src/state.rs
@@ -66,24 +66,6 @@
     }
 }
 
-/// What a balancer has learned, for the one that takes its place. Nothing in it has to hold: whoever recalls it
-/// takes over what still fits. Fields that have changed their name are kept under the old one: during an upgrade
-/// the version before reads it too.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Knowledge {
-    pub(crate) at: f64,
-    /// Of each upstream: when it had started, when it was put back, and what was learned of it.
-    pub(crate) upstreams: BTreeMap<u64, (f64, f64, Learned)>,
-    pub(crate) usual: Vec<Usual>,
-    pub(crate) rates: Vec<Rate>,
-    pub(crate) paces: BTreeMap<usize, f64>,
-    #[serde(rename = "reach", alias = "subset")]
-    pub(crate) subset: f64,
-    pub(crate) pass: f64,
-    pub(crate) met_crowd: bool,
-    pub(crate) strain: f64,
-}
-
 /// How long an idle connection is trusted, and signs that this is too long.
 pub(crate) struct IdleTrust {
     pub(crate) trust: f64,
@@ -145,6 +127,8 @@
     /// Calls turned away in a row, and whether it is taken for one that drains for that.
     pub(crate) turned_away: u32,
     pub(crate) suspected: bool,
+    /// When it is taken to have started; 0 means long ago.
+    pub(crate) started: f64,
     /// When they put it back, if it may have been restarted since it was last known to start.
     pub(crate) returned: f64,
     pub(crate) flights: Vec<Flight>,
@@ -176,6 +160,14 @@
     pub(crate) allowance: f64,
 }
 
+impl Learned {
+    /// All moments in it.
+    pub(crate) fn moments(&mut self) -> impl Iterator<Item = &mut f64> {
+        let health = self.health.iter_mut().flat_map(|health| [&mut health.heard, &mut health.ejected_until]);
+        health.chain([&mut self.full_until])
+    }
+}
+
 /// How the calls of one scope fare at an upstream.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Health {
@@ -222,6 +214,11 @@
 }
 
 impl Rate {
+    /// When the last request was counted.
+    pub(crate) fn moment(&mut self) -> &mut f64 {
+        &mut self.at
+    }
+
     /// Counts one request; gives back the part of the rate that is beyond the quota (0: there is none).
     pub(crate) fn beyond(&mut self, quota: f64, now: f64, window: f64) -> f64 {
         self.mean = self.mean * (-(now - self.at) / window).exp() + 1.0 / window;
@@ -288,9 +285,9 @@
 
 impl Upstream {
     pub(crate) fn new(entry: UpstreamEntry) -> Self {
-        let (out, turned_away, suspected, returned) = Default::default();
+        let (out, turned_away, suspected, started, returned) = Default::default();
         let (flights, queue, due, idle, learned) = Default::default();
-        Upstream { entry, out, turned_away, suspected, returned, flights, queue, due, idle, learned }
+        Upstream { entry, out, turned_away, suspected, started, returned, flights, queue, due, idle, learned }
     }
 
     /// The list and the operators let it have calls, and so does itself as far as can be known.
@@ -320,6 +317,6 @@
 
     /// The share of its work that it can do at the least by now.
     pub(crate) fn warm_share(&self, rules: &Rules, now: f64) -> f64 {
-        rules.warm_share(self.entry.since.max(self.returned), now)
+        rules.warm_share(self.started.max(self.returned), now)
     }
 }
--- a/tests/clocks.rs
+++ b/tests/clocks.rs
@@ -2,77 +2,90 @@
 
 mod peers;
 use peers::*;
-use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::thread::sleep;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const ID: &str = "Request-Id: {id}\r\n";
 const CALLS: usize = 200;
 
-/// Four upstreams, and a program whose wall clock is ahead by so many seconds.
+/// Now, in Unix milliseconds.
+fn now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Four upstreams, the last of which starts again, and a program whose wall clock may be wrong.
 struct Rig {
     upstreams: Vec<Upstream>,
-    program: Program,
-    watch: Watch,
-    _discovery: DiscoveryPeer,
+    discovery: DiscoveryPeer,
+    /// For so many seconds upstreams are cold.
+    cold: f64,
+    folder: PathBuf,
 }
 
 impl Rig {
-    /// Upstreams are cold for so many seconds; the last one is known to have started so many seconds ago, if it has.
-    fn start(ahead: i64, cold: f64, age: Option<f64>) -> Self {
-        let upstreams: Vec<_> = (0..4).map(|_| Upstream::start(Reply::Ok)).collect();
-        let discovery = DiscoveryPeer::start();
-        let mut entries = entries(&upstreams);
-        if let Some(age) = age {
-            entries[3] = started(upstreams[3].address, age);
-        }
-        let config = config(&list(5, true, &entries), discovery.address, 256).replace(
-            "\"cold\":5.0,\"startCapacity\":0.3",
-            &format!("\"cold\":{cold},\"startCapacity\":0.05"),
-        );
+    fn new(cold: f64) -> Self {
+        let upstreams = (0..4).map(|_| Upstream::start(Reply::Ok)).collect();
+        Rig { upstreams, discovery: DiscoveryPeer::start(), cold, folder: folder() }
+    }
+
+    /// The entry of the last one, with the start that is listed.
+    fn last(&self, since: u64) -> String {
+        let entry = endpoint("u3", self.upstreams[3].address, "in_service");
+        entry.replace("\"since_ms\":0", &format!("\"since_ms\":{since}"))
+    }
+
+    /// A program whose wall clock is ahead by so many seconds, and that knows of this start of the last one.
+    fn program(&self, listen: &str, ahead: i64, since: u64) -> (Program, Watch) {
+        let mut entries: Vec<_> =
+            (0..3).map(|n| endpoint(&format!("u{n}"), self.upstreams[n].address, "in_service")).collect();
+        entries.push(self.last(since));
+        let cold = format!("\"cold\":{},\"startCapacity\":0.05", self.cold);
+        let config = config(&list(5, true, &entries), self.discovery.address, 256)
+            .replace("\"cold\":5.0,\"startCapacity\":0.3", &cold);
         let ahead = ahead.to_string();
-        let variables =
-            [("PROXY_CONSOLE", "127.0.0.1:0"), ("LD_PRELOAD", failing_calls()), ("FAULTS_WALL", &ahead)];
-        let program = Program::start_with(&variables, &config, "127.0.0.1:0");
-        let watch = discovery.next();
-        Rig { upstreams, program, watch, _discovery: discovery }
+        let variables = [
+            ("PROXY_CONSOLE", "127.0.0.1:0"),
+            ("TMPDIR", self.folder.to_str().unwrap()),
+            ("LD_PRELOAD", failing_calls()),
+            ("FAULTS_WALL", &ahead),
+        ];
+        let program = Program::start_with(&variables, &config, listen);
+        (program, self.discovery.next())
     }
 
-    /// Discovery tells that the last one has just started again.
-    fn restart(&mut self) {
+    /// Discovery tells this program that the last one has started again.
+    fn restart(&self, program: &Program, watch: &mut Watch, since: u64) {
         let other = endpoint("other", self.upstreams[0].address, "terminating");
-        self.watch.line(&list(6, false, &[started(self.upstreams[3].address, 0.0), other]));
-        until("that is told", || self.program.figure("upstreams_known") == 5);
+        watch.line(&list(6, false, &[self.last(since), other]));
+        until("that is told", || program.figure("upstreams_known") == 5);
     }
 
     /// The calls of `CALLS` that the last one gets.
-    fn share(&self) -> usize {
+    fn share(&self, program: &Program) -> usize {
         self.upstreams[3].seen.try_iter().count();
-        let mut client = self.program.client();
+        let mut client = program.client();
         (0..CALLS).for_each(|_| assert_eq!(client.ask("/read", ID, "").status(), 200));
         self.upstreams[3].seen.try_iter().count()
     }
 }
 
-fn entries(upstreams: &[Upstream]) -> Vec<String> {
-    let entries = upstreams.iter().enumerate();
-    entries.map(|(n, upstream)| endpoint(&format!("u{n}"), upstream.address, "in_service")).collect()
-}
-
-/// The entry of the last one, which started so many seconds ago.
-fn started(address: SocketAddr, age: f64) -> String {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64() - age;
-    endpoint("u3", address, "in_service")
-        .replace("\"since_ms\":0", &format!("\"since_ms\":{}", (since * 1e3) as u64))
+impl Drop for Rig {
+    fn drop(&mut self) {
+        // What it is for is over.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
 }
 
-/// Whatever the wall clock says, one that has just started gets its cold share. A clock that is ahead would have it warm.
+/// Whatever the wall clock says, one that has just started gets its cold share. A clock that is ahead would have it
+/// warm.
 #[test]
 fn an_upstream_that_starts_again_is_spared_whatever_the_wall_clock_says() {
     for ahead in [0, 100, 3600, -100, -3600] {
-        let mut rig = Rig::start(ahead, 60.0, None);
-        rig.restart();
-        let share = rig.share();
+        let rig = Rig::new(60.0);
+        let (program, mut watch) = rig.program("127.0.0.1:0", ahead, 0);
+        rig.restart(&program, &mut watch, now());
+        let share = rig.share(&program);
         assert!(share < CALLS / 10, "{share} calls of {CALLS}, {ahead} s ahead");
     }
 }
@@ -81,10 +94,11 @@
 #[test]
 fn an_upstream_that_has_started_again_is_warm_in_time_whatever_the_wall_clock_says() {
     for ahead in [0, 3600, -100, -3600] {
-        let mut rig = Rig::start(ahead, 0.5, None);
-        rig.restart();
+        let rig = Rig::new(0.5);
+        let (program, mut watch) = rig.program("127.0.0.1:0", ahead, 0);
+        rig.restart(&program, &mut watch, now());
         sleep(Duration::from_millis(700));
-        let share = rig.share();
+        let share = rig.share(&program);
         assert!(share > CALLS / 6, "{share} calls of {CALLS}, {ahead} s ahead");
     }
 }
@@ -93,9 +107,26 @@
 #[test]
 fn an_upstream_of_the_known_list_is_warm_in_time_though_the_wall_clock_is_behind() {
     for ahead in [0, -100, -3600] {
-        let rig = Rig::start(ahead, 0.5, Some(1.0));
+        let rig = Rig::new(0.5);
+        let (program, _watch) = rig.program("127.0.0.1:0", ahead, now() - 1000);
         sleep(Duration::from_millis(700));
-        let share = rig.share();
+        let share = rig.share(&program);
         assert!(share > CALLS / 6, "{share} calls of {CALLS}, {ahead} s ahead");
     }
 }
+
+/// A new process knows from the old one when an upstream has started, also where their wall clocks differ: one was
+/// stepped between the two starts.
+#[test]
+fn a_new_process_spares_an_upstream_that_the_old_one_has_seen_start() {
+    for ahead in [0, 100, 3600, -100, -3600] {
+        let (rig, since) = (Rig::new(60.0), now());
+        let (mut old, mut watch) = rig.program("127.0.0.1:0", ahead, 0);
+        rig.restart(&old, &mut watch, since);
+        let (new, _watch) = rig.program(&old.address.to_string(), 0, since);
+        old.terminate();
+        assert!(old.wait().success());
+        let share = rig.share(&new);
+        assert!(share < CALLS / 10, "{share} calls of {CALLS}, {ahead} s ahead");
+    }
+}
--- a/tests/life_of_a_call.rs
+++ b/tests/life_of_a_call.rs
@@ -812,21 +812,25 @@
     let mut old = Rig::new(settings(), 4);
     assert!(run(&mut old, 1..40) >= 2, "what it costs to learn that one fails");
     let text = serde_json::to_string(&old.balancer.knowledge()).unwrap();
-    let drawn = |later: f64, restarted: bool| {
+    let drawn_by = |ahead: f64, later: f64, restarted: bool| {
         let mut new = Rig::new(settings(), 4);
-        new.now = old.now + later;
+        new.now = old.now + later + ahead;
         if restarted {
             let now = new.now - 50.0;
             new.list(ListScope::Delta, vec![UpstreamEntry { since: now, ..entry(1) }]);
         }
-        new.balancer.recall(new.now, serde_json::from_str(&text).unwrap());
+        new.balancer.recall(new.now, later, serde_json::from_str(&text).unwrap());
         run(&mut new, 1..40)
     };
+    let drawn = |later: f64, restarted: bool| drawn_by(0.0, later, restarted);
     assert_eq!(drawn(0.1, false), 0);
+    for ahead in [-3600.0, -5.0, 5.0, 3600.0] {
+        assert_eq!(drawn_by(ahead, 0.1, false), 0, "its clock is {ahead} s ahead");
+    }
     assert!(drawn(0.1, true) >= 2, "it may be another program now");
     assert!(drawn(60.0, false) >= 2, "too long ago");
     // Settings that have changed fit nothing.
     let mut other = Rig::with_classes(&[Effect::Safe, Effect::Unsafe], 4);
-    other.balancer.recall(old.now, serde_json::from_str(&text).unwrap());
+    other.balancer.recall(old.now, 0.0, serde_json::from_str(&text).unwrap());
     assert!(other.fill(1, 0) > 1);
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -224,24 +224,68 @@
     assert_eq!(sends(&rig.list(ListScope::Delta, vec![entry(2)])), [(held, 2)]);
 }
 
+/// The calls of 200 that the last of ten upstreams gets.
+fn calls_of_the_last(rig: &mut Rig) -> u32 {
+    let mut taken = 0;
+    for id in 1..=200 {
+        taken += u32::from(sends(&rig.on(request(id, 0, 2.0)))[0].1 == 10);
+        rig.on(end(id, 0, Outcome::Ok));
+    }
+    taken
+}
+
 #[test]
 fn a_cold_upstream_takes_its_warm_share_of_turns() {
-    // 200 turns over ten upstreams, one of which has just started at a fifth of its work.
+    // One of ten starts at a fifth of its work, some time ago.
     let taken = |age: f64| {
         let mut rig = Rig::with_classes(&[Effect::Safe], 9);
-        rig.list(ListScope::Delta, vec![UpstreamEntry { since: rig.now - age, ..entry(10) }]);
-        let mut taken = 0;
-        for id in 1..=200 {
-            taken += u32::from(sends(&rig.on(request(id, 0, 2.0)))[0].1 == 10);
-            rig.on(end(id, 0, Outcome::Ok));
-        }
-        taken
+        rig.list(ListScope::Delta, vec![UpstreamEntry { since: rig.now, ..entry(10) }]);
+        rig.now += age;
+        calls_of_the_last(&mut rig)
     };
     assert!((2..=5).contains(&taken(0.0)), "{} at the start", taken(0.0));
     assert!((9..=13).contains(&taken(5.0)), "{} half way", taken(5.0));
     assert_eq!(taken(10.0), 20);
 }
 
+/// A start that a list tells late, or that lies ahead: the wall clock may be wrong, and how late the promptest one came
+/// shows by how much it may be.
+#[test]
+fn the_age_of_an_upstream_is_not_taken_from_a_clock_that_may_be_wrong() {
+    let told = |rig: &mut Rig, id: u64, since: f64| {
+        rig.list(ListScope::Delta, vec![UpstreamEntry { since, ..entry(id) }]);
+    };
+    for ahead in [-3600.0, -5.0, 0.0, 5.0, 3600.0] {
+        let mut rig = Rig::with_classes(&[Effect::Safe], 9);
+        rig.now += 10_000.0;
+        let since = rig.now - ahead;
+        told(&mut rig, 10, since);
+        let taken = calls_of_the_last(&mut rig);
+        assert!((2..=5).contains(&taken), "{taken} at the start, {ahead} s ahead");
+        rig.now += 10.0;
+        let taken = calls_of_the_last(&mut rig);
+        assert!((18..=22).contains(&taken), "{taken} once it is warm, {ahead} s ahead");
+    }
+    // One is heard of after half a second, the next, once a network heals, after more than it takes to warm up.
+    for (late, least, most) in [(0.5, 2, 5), (5.5, 9, 13), (10.5, 18, 22)] {
+        let mut rig = Rig::with_classes(&[Effect::Safe], 9);
+        let now = rig.now;
+        told(&mut rig, 9, now - 0.5);
+        rig.now += 20.0;
+        let now = rig.now;
+        told(&mut rig, 10, now - late);
+        let taken = calls_of_the_last(&mut rig);
+        assert!((least..=most).contains(&taken), "{taken}, told {late} s late");
+    }
+    // The list of old tells of what lies behind it.
+    let mut rig = Rig::with_classes(&[Effect::Safe], 9);
+    let entries =
+        (1..=10).map(|id| UpstreamEntry { since: rig.now - if id == 10 { 20.0 } else { 0.0 }, ..entry(id) });
+    let entries = entries.collect();
+    rig.list(ListScope::Cached, entries);
+    assert!(calls_of_the_last(&mut rig) > 20, "it alone is warm");
+}
+
 #[test]
 fn cold_upstreams_keep_to_their_share_when_the_others_are_down() {
     let mut rig = Rig::with_classes(&[Effect::Unsafe], 3);
