--- a/tests/unit/told.rs
+++ b/tests/unit/told.rs
@@ -224,6 +224,30 @@
     });
 }
 
+/// Where lists are pushed, the agent's news count as told though no watch is open: one that breaks is opened again so
+/// soon that the grace of a drain, 0.45 s on sockets, covers it and a hold-up of 0.15 s.
+#[test]
+fn a_pushed_watch_that_breaks_is_opened_again_at_once() {
+    let soon = Duration::from_millis(250);
+    run(async {
+        for first in [Refused, Reset, ResetInList, ResetAfterList] {
+            for count in [1, 2, 60] {
+                let discovery = Stand::up(&vec![first; count]);
+                let driver = start(discovery.address, Discovery::Push, 1);
+                until(|| discovery.calls() == count).await;
+                let time = told(&driver, &discovery).await;
+                assert!(time <= soon, "{first:?} {count} {time:?}");
+            }
+        }
+        let discovery = Stand::down(&[]);
+        let driver = start(discovery.address, Discovery::Push, 1);
+        pass(8).await;
+        discovery.open();
+        let time = told(&driver, &discovery).await;
+        assert!(time <= soon, "{time:?}");
+    });
+}
+
 /// Guards against the same at a place to which discovery has moved, also if the old one was silent just then.
 #[test]
 fn what_discovery_has_is_told_in_time_where_it_has_moved() {
