Open a pushed watch again at once when it breaks

Cause: REWATCH waited 0.5 s. Where lists are pushed what the agent has counts as told, watch or not, so that a drain behind a reset watch was heard 0.5 s later, and calls began at that upstream for up to 0.05 s after its grace of 0.45 s. Ruled out: the first watch of a process, which is opened at once. Change: 20 ms, and 250 ms once ten watches in a row have lived for less than a second, lest an agent that ends each watch behind a whole list is asked for 50 of them a second.

--- a/src/bin/magpiechute/driver.rs
+++ b/src/bin/magpiechute/driver.rs
@@ -30,8 +30,14 @@
 const MARGIN: Duration = Duration::from_millis(12);
 /// An answer that the module still owes then is given for it, so that no client is left without one.
 const LAST_CALL: Duration = Duration::from_millis(5);
-/// Where lists are pushed, a broken watch is opened again after this time.
-const REWATCH: Duration = Duration::from_millis(500);
+/// Where lists are pushed, what the agent has counts as told with no watch open too. A broken watch is opened again after
+/// this time, so that the grace of a drain covers it,
+const REWATCH: Duration = Duration::from_millis(20);
+/// and after this one if so many calls in a row have failed.
+const REWATCH_LATER: Duration = Duration::from_millis(250);
+const MANY_FAILURES: u32 = 10;
+/// A watch that has lived for less counts as one of these, though it has told something: it may have told a whole list.
+const SHORT_WATCH: Duration = Duration::from_secs(1);
 /// Where they are asked for, another call is made beside a silent watch after this time at the most. Guards against
 /// watches that fall silent together and come back in step.
 const ASIDE: Duration = Duration::from_millis(150);
@@ -176,6 +182,8 @@
     /// take its place once they have spoken.
     watches: Vec<Watching>,
     last_watch: u64,
+    /// Watches in a row that have failed soon.
+    failed_watches: u32,
     jitter: Pcg64Mcg,
 }
 
@@ -189,6 +197,7 @@
     broken: bool,
     /// Something whole has come on it.
     spoke: bool,
+    opened: Instant,
     task: AbortHandle,
 }
 
@@ -243,6 +252,7 @@
                 listed: false,
                 watches: Vec::new(),
                 last_watch: 0,
+                failed_watches: 0,
                 jitter: Pcg64Mcg::seed_from_u64(config.seed),
             })
         });
@@ -408,7 +418,11 @@
     /// The watch has ended.
     pub fn list_failed(&mut self, watch: u64, why: &str) {
         let Some(at) = self.watches.iter().position(|watching| watching.number == watch) else { return };
-        log::line(format!("discovery failed: {why}"));
+        let lived = self.watches[at].opened.elapsed() >= SHORT_WATCH;
+        self.failed_watches = if lived && self.watches[at].spoke { 1 } else { self.failed_watches + 1 };
+        if self.failed_watches < MANY_FAILURES || self.failed_watches % MANY_FAILURES == 0 {
+            log::line(format!("discovery failed: {why}"));
+        }
         let failed = self.watches.remove(at);
         let replaced = self.watches.len() > at;
         // Guards against asking late, and the old address, when the old discovery ends its watches: the new
@@ -422,7 +436,10 @@
         }
         match self.discovery.1 {
             Discovery::Ask => self.tell(Event::Upstreams(ListScope::Failed, Vec::new())),
-            Discovery::Push => self.schedule(Instant::now() + REWATCH, Due::Rewatch),
+            Discovery::Push => {
+                let wait = if self.failed_watches < MANY_FAILURES { REWATCH } else { REWATCH_LATER };
+                self.schedule(Instant::now() + wait, Due::Rewatch);
+            }
         }
     }
 
@@ -696,7 +713,8 @@
         let watch = discovery::Watch { number, address, since, asked };
         let task = spawn_local(discovery::watch(driver, self.budget.clone(), watch)).abort_handle();
         let index = since.unwrap_or(0);
-        self.watches.push(Watching { number, address, index, broken: false, spoke: false, task });
+        let opened = Instant::now();
+        self.watches.push(Watching { number, address, index, broken: false, spoke: false, opened, task });
         if self.watches.len() > MOST_WATCHES {
             // The list comes from the first, and the second is the next to have its turn. Guards against calls that
             // all end before discovery comes to them, and against the end of a watch that hears at the old address.
