--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -355,6 +355,31 @@
     }
 }
 
+/// A client that stops in the middle of a request and stays is owed an error or a close within 3 s, also where it has
+/// had an answer on that connection before.
+#[test]
+fn a_client_that_stops_in_the_middle_of_a_further_request_is_turned_away() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with(&[upstream.address]);
+    let head = "POST /pay HTTP/1.1\r\nHost: b\r\n";
+    let halves = [
+        head.to_string(),
+        format!("{head}Request-Id: fe01\r\nContent-Length: 9\r\n\r\nhalf"),
+        format!("{head}Request-Id: fe02\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nha"),
+        format!("{head}Request-Id: fe03\r\nContent-Length: 65536\r\n\r\n{}", "x".repeat(60_000)),
+    ];
+    let mut clients: Vec<_> = halves.iter().map(|_| program.client()).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.ask("/pay", ID, "coins").status(), 200));
+    let begun = Instant::now();
+    clients.iter_mut().zip(&halves).for_each(|(client, half)| client.write(half));
+    for (client, half) in clients.iter_mut().zip(&halves) {
+        let answer = client.receive().ok().flatten();
+        assert!(answer.is_none_or(|answer| answer.status() == 408));
+        // Idle connections stay for 10 s; a busy machine may take longer than 3 s for this.
+        assert!(begun.elapsed() < Duration::from_secs(6), "{:?} {half:.60}", begun.elapsed());
+    }
+}
+
 /// Guards against clients that hold a connection and say nothing, or never finish: they are closed in time, and
 /// they don't keep others out.
 #[test]
