Turn clients away in time that stop in the middle of a further request

Cause: Server::read gave the body of a request that is not the first on its connection until IDLE, 10 s, in place of the 2.5 s of a first one; a streamed body could pause for 3.0 s, so that its end came 3.02 s after it had stopped. Ruled out: heads, which Client::stuck ends after 2.7 s on either. Change: 2.5 s from the first byte of the request on, or the rate that bodies have to keep; a streamed body may pause for 2.5 s. The unit test of the figures fails without the second one.

--- a/src/bin/magpiechute/bodies.rs
+++ b/src/bin/magpiechute/bodies.rs
@@ -32,7 +32,7 @@
 /// but for so long.
 const HESITATION: Duration = Duration::from_millis(800);
 /// Of a body that is being streamed the next part comes within this time: its client has shown that it sends,
-pub const CLIENT_STALL: Duration = Duration::from_secs(3);
+pub const CLIENT_STALL: Duration = Duration::from_millis(2500);
 /// and an upstream that it answers: one may stand still for over twenty seconds and go on.
 const UPSTREAM_STALL: Duration = Duration::from_secs(30);
 
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -28,10 +28,11 @@
 
 /// Connections that the kernel takes for us while the loop is busy.
 const BACKLOG: u32 = 4096;
-/// A client has this long from its connection to the end of its first request, or of the head of a longer one.
-const FIRST_REQUEST: Duration = Duration::from_millis(2500);
+/// A client has this long from its connection to the end of its first request, or of the head of a longer one, and from
+/// the first byte of a further request to the end of that.
+pub const FIRST_REQUEST: Duration = Duration::from_millis(2500);
 /// Then it has this much more to be told that it took too long.
-const GRACE: Duration = Duration::from_millis(200);
+pub const GRACE: Duration = Duration::from_millis(200);
 /// A connection whose next request takes longer to come, or whose client takes its answer no faster, is closed.
 const IDLE: Duration = Duration::from_secs(10);
 /// Nor does one last whose client takes nothing of a long answer for this time. The kernel holds megabytes for it, and
@@ -676,7 +677,8 @@
         let wait = number("request-timeout")?.unwrap_or(limit).min(limit);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or_default();
         let cost_hint = number("work-hint")?.map(|micros| micros / 1e6);
-        let first = client.first_request().unwrap_or(came + IDLE);
+        let asking = client.socket.asking().unwrap_or(came);
+        let first = client.first_request().unwrap_or(asking + FIRST_REQUEST);
         // Its body is timed by itself.
         client.idle.set(None);
         let read = Upload::read(body, &self.memory, first, &self.draining);
--- a/tests/unit/magpiechute.rs
+++ b/tests/unit/magpiechute.rs
@@ -13,3 +13,11 @@
     }
     assert_eq!(last_moment(millis(6000)), millis(3600));
 }
+
+/// Whoever sends no proper request is owed an error or a close within 3 s, also by a process that is held up for 0.15 s.
+#[test]
+fn whoever_stops_in_the_middle_of_a_request_is_turned_away_in_time() {
+    let owed = Duration::from_millis(3000 - 150);
+    assert!(server::FIRST_REQUEST + server::GRACE < owed);
+    assert!(bodies::CLIENT_STALL < owed);
+}
