Have the last answers written 0.25 s before SIGKILL

Cause: last_moment left 0.1 s before SIGKILL, and a balancer may be held up for 0.15 s. Change: 0.25 s; the listener still closes 0.1 s before the last moment, and stays open for 0.45 s with deadlines of 0.1 s.

--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -36,8 +36,10 @@
 const KILL_CAP: Duration = Duration::from_secs(3);
 /// and this much more.
 const KILL_EXTRA: Duration = Duration::from_millis(700);
-/// What comes after SIGTERM is settled this much before that.
-const SPARE: Duration = Duration::from_millis(100);
+/// What comes after SIGTERM is settled this much before that: the process may be held up for 0.15 s just then.
+const SPARE: Duration = Duration::from_millis(250);
+/// The listener closes this much before all is settled.
+const LAST_REQUEST: Duration = Duration::from_millis(100);
 /// What has been taken by then is settled within the longest deadline, and this much more.
 const SETTLE: Duration = Duration::from_secs(1);
 /// Whether the first list has come is looked up this often.
@@ -181,7 +183,7 @@
 
 /// How long connections are still taken then. Guards against one that is taken and can't be settled any more.
 fn still_accept(longest: Duration) -> Duration {
-    STILL_ACCEPT.min(last_moment(longest) - SPARE)
+    STILL_ACCEPT.min(last_moment(longest) - LAST_REQUEST)
 }
 
 #[cfg(test)]
