--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -480,7 +480,12 @@
 
 /// The same for one that shares a folder with others.
 pub fn spawn_in(folder: &Path, config: &str, listen: &str) -> Child {
-    spawn_with(&[("TMPDIR", folder.to_str().unwrap())], &write_config(config), listen)
+    spawn_by_variables(&[("TMPDIR", folder.to_str().unwrap())], config, listen)
+}
+
+/// The same with these variables.
+pub fn spawn_by_variables(variables: &[(&str, &str)], config: &str, listen: &str) -> Child {
+    spawn_with(variables, &write_config(config), listen)
 }
 
 fn write_config(config: &str) -> PathBuf {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -15,8 +15,12 @@
 const ID: &str = "Request-Id: {id}\r\n";
 
 fn start(folder: &Path, config: &str, listen: &str) -> Program {
-    let variables = [("TMPDIR", folder.to_str().unwrap()), ("PROXY_CONSOLE", "127.0.0.1:0")];
-    Program::start_with(&variables, config, listen)
+    start_with(&[], folder, config, listen)
+}
+
+fn start_with(variables: &[(&str, &str)], folder: &Path, config: &str, listen: &str) -> Program {
+    let own = [("TMPDIR", folder.to_str().unwrap()), ("PROXY_CONSOLE", "127.0.0.1:0")];
+    Program::start_with(&[variables, &own].concat(), config, listen)
 }
 
 struct Rig {
@@ -31,8 +35,13 @@
     }
 
     fn start(&self, listen: &str) -> Program {
+        self.start_with(&[], listen)
+    }
+
+    /// The same with these variables.
+    fn start_with(&self, variables: &[(&str, &str)], listen: &str) -> Program {
         let known = list(5, true, &[endpoint("u0", self.upstream.address, "in_service")]);
-        start(&self.folder, &config(&known, self.discovery.address, 256), listen)
+        start_with(variables, &self.folder, &config(&known, self.discovery.address, 256), listen)
     }
 
     fn state(&self, address: SocketAddr) -> PathBuf {
@@ -234,6 +243,65 @@
     assert_eq!(program.client().ask("/pay", &format!("{ID}Request-Timeout: 1.0\r\n"), "coins").status(), 503);
 }
 
+/// What operators say to a new process before it has heard the old one goes beside what they have said to that one.
+#[test]
+fn what_operators_say_to_a_new_process_at_once_undoes_nothing() {
+    let rig = Rig::new();
+    let other = Upstream::start(Reply::Ok);
+    let known = [("u0", rig.upstream.address), ("u1", other.address)];
+    let known = known.map(|(name, address)| endpoint(name, address, "in_service"));
+    let config = config(&list(5, true, &known), rig.discovery.address, 256);
+    let old = start(&rig.folder, &config, "127.0.0.1:0");
+    assert_eq!(old.call("POST /upstreams/u0/maint").0, 200);
+    old.hold();
+    let variables = [("TMPDIR", rig.folder.to_str().unwrap()), ("PROXY_CONSOLE", "127.0.0.1:0")];
+    let mut new = spawn_by_variables(&variables, &config, &old.address.to_string());
+    let mut log = BufReader::new(new.stderr.take().unwrap()).lines().map(Result::unwrap);
+    let console = log.find(|line| line.contains("operators' calls at ")).unwrap();
+    let console: SocketAddr = console.rsplit(' ').next().unwrap().parse().unwrap();
+    let mut operator = Client::connect(console).unwrap();
+    operator.write("POST /upstreams/u1/maint HTTP/1.1\r\nHost: console\r\n\r\n");
+    assert_eq!(operator.receive().unwrap().expect("an answer").status(), 200);
+    old.go_on();
+    assert!(log.any(|line| line.contains("listens on ")));
+    until("the old one leaves out both", || old.figure("upstreams_excluded") == 2);
+    let mut operator = Client::connect(console).unwrap();
+    operator.write("GET /stats HTTP/1.1\r\nHost: console\r\n\r\n");
+    let figures = operator.receive().unwrap().expect("an answer").body;
+    assert!(String::from_utf8(figures).unwrap().contains("upstreams_excluded:2|"), "so does the new one");
+    new.kill().unwrap();
+    new.wait().unwrap();
+}
+
+/// A folder that takes no writes for a while keeps nothing from outlasting the process once it does.
+#[test]
+fn what_can_not_be_kept_at_once_is_kept_later() {
+    // ENOSPC, EIO; 8 is more than are made before the answer.
+    for faults in ["write:28:1:1:8", "rename:5:1:1:8"] {
+        let rig = Rig::new();
+        let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", faults)];
+        let old = rig.start_with(&variables, "127.0.0.1:0");
+        assert_eq!(old.call("POST /upstreams/u0/maint").0, 500, "{faults}");
+        until("it is kept", || rig.state(old.address).exists());
+        let new = rig.start(&old.address.to_string());
+        until("it is known", || new.figure("upstreams_excluded") == 1);
+    }
+}
+
+/// Nor is an upgrade impossible because the socket at which the next process is awaited could not be made at once.
+#[test]
+fn the_next_process_is_awaited_though_the_folder_was_full_for_a_while() {
+    let rig = Rig::new();
+    // The third bind of a process is that of this socket, after those of its two listeners.
+    let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", "bind:28:3:1:2")];
+    let old = rig.start_with(&variables, "127.0.0.1:0");
+    assert_eq!(old.client().ask("/pay", ID, "coins").status(), 200);
+    until("the next one is awaited", || rig.state(old.address).with_extension("sock").exists());
+    let new = rig.start(&old.address.to_string());
+    until("they have met", || old.call("GET /healthcheck").0 == 200 && new.call("GET /healthcheck").0 == 200);
+    assert!(old.descriptors() + new.descriptors() <= 256);
+}
+
 /// Guards against clients that are lost because the new process is told to end before it is ready.
 #[test]
 fn sigterm_to_a_new_process_that_is_not_ready_leaves_the_old_one_serving() {
