Keep what operators say over an upgrade whenever and wherever they say it

Cause: Upgrade::save wrote this process's own view over the file, also where the other process had been told something that this one had not read yet: said to a new process at once, maintenance undid what the old one had been told, in both. A state that could not be written was written again only at the next call, and the socket for the next process was made once or never. Change: before an operator's word is carried out, and before the state is written for a new process, what stands in the file is taken over; what the folder does not take is tried again every 0.1 s.

--- a/src/bin/magpiechute/admin.rs
+++ b/src/bin/magpiechute/admin.rs
@@ -170,15 +170,12 @@
                 let Ok(name) = percent_decode_str(id).decode_utf8() else {
                     return text(StatusCode::BAD_REQUEST, "the id can't be read");
                 };
-                if !self.driver.borrow_mut().maintain(&name, out) {
-                    return text(StatusCode::NOT_FOUND, "no such upstream");
-                }
                 // Guards against a yes that an upgrade would undo.
-                match self.upgrade.keep() {
-                    Ok(()) => text(StatusCode::OK, "done"),
-                    Err(error) => {
-                        log::line(format!("console: the state can't be kept: {error}"));
-                        text(StatusCode::INTERNAL_SERVER_ERROR, "done, but an upgrade would undo it")
+                match self.upgrade.maintain(&name, out) {
+                    Ok(true) => text(StatusCode::OK, "done"),
+                    Ok(false) => text(StatusCode::NOT_FOUND, "no such upstream"),
+                    Err(_) => {
+                        text(StatusCode::INTERNAL_SERVER_ERROR, "done, but an upgrade now would undo it")
                     }
                 }
             }
--- a/src/bin/magpiechute/upgrade.rs
+++ b/src/bin/magpiechute/upgrade.rs
@@ -27,6 +27,8 @@
 const ROOM: Duration = Duration::from_millis(500);
 /// After a failed accept the next try comes this much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
+/// What the folder has not taken, state or socket, is tried again this much later.
+const FOLDER_AGAIN: Duration = Duration::from_millis(100);
 
 /// What outlasts a process.
 #[derive(Debug, Serialize, Deserialize)]
@@ -72,6 +74,8 @@
     other: RefCell<Option<UnboundedSender<Line>>>,
     /// A new process takes the clients' connections.
     replaced: Cell<bool>,
+    /// The folder has not taken what is to outlast this process.
+    unsaved: Cell<bool>,
 }
 
 impl Upgrade {
@@ -83,9 +87,9 @@
         budget: Rc<Budget>,
         sockets: usize,
     ) -> Rc<Self> {
-        let (other, replaced) = Default::default();
+        let (other, replaced, unsaved) = Default::default();
         let address = Cell::new(address);
-        Rc::new(Upgrade { folder, address, driver, server, budget, sockets, other, replaced })
+        Rc::new(Upgrade { folder, address, driver, server, budget, sockets, other, replaced, unsaved })
     }
 
     /// True once a new process takes the clients' connections.
@@ -97,14 +101,42 @@
         Some(self.folder.as_ref()?.join(format!("magpiechute-{}.{kind}", self.address.get())))
     }
 
-    /// Writes down what the operators have said, and tells the other process.
-    pub fn keep(&self) -> io::Result<()> {
-        self.save()?;
+    /// Does what the operators say of an upstream, writes it down and tells the other process; false if none of this
+    /// name is known.
+    pub fn maintain(self: &Rc<Self>, name: &str, out: bool) -> io::Result<bool> {
+        // The other process, or the one before, may have been told something that this one has not heard of yet.
+        self.adopt();
+        let known = self.driver.borrow_mut().maintain(name, out);
+        if known {
+            self.keep()?;
+        }
+        Ok(known)
+    }
+
+    /// Writes down what has to outlast this process, and tells the other one. What the folder does not take now is
+    /// written once it does.
+    fn keep(self: &Rc<Self>) -> io::Result<()> {
+        let saved = self.save();
+        match &saved {
+            Ok(()) => self.tell(Line::State),
+            Err(error) => {
+                log::line(format!("the state can't be kept yet: {error}"));
+                if !self.unsaved.replace(true) {
+                    spawn_local(self.clone().keep_later());
+                }
+            }
+        }
+        saved
+    }
+
+    async fn keep_later(self: Rc<Self>) {
+        while self.unsaved.get() {
+            sleep(FOLDER_AGAIN).await;
+            self.unsaved.set(self.save().is_err());
+        }
         self.tell(Line::State);
-        Ok(())
     }
 
-    /// Writes down what has to outlast this process.
     fn save(&self) -> io::Result<()> {
         let Some(path) = self.path("state") else { return Ok(()) };
         let out = self.driver.borrow().left_out().map(str::to_string).collect();
@@ -112,18 +144,20 @@
         State { balancer: self.address.get().to_string(), out, knowledge, age: None }.write(&path)
     }
 
-    /// Does what the operators have said to the other process, or the one before.
-    fn restore(&self) -> Option<State> {
-        match State::read(&self.path("state")?, self.address.get()) {
-            Ok(state) => {
-                self.driver.borrow_mut().leave_out(&state.out);
-                Some(state)
-            }
-            Err(why) => {
-                log::line(format!("nothing is known of a process before: {why}"));
-                None
-            }
+    /// Does what the operators have said to the other process, or to the one before, as far as that is written down and
+    /// nothing newer is still to be written here.
+    fn adopt(&self) -> Option<Result<State, String>> {
+        let path = self.path("state").filter(|_| !self.unsaved.get())?;
+        let state = State::read(&path, self.address.get());
+        if let Ok(state) = &state {
+            self.driver.borrow_mut().leave_out(&state.out);
         }
+        Some(state)
+    }
+
+    /// The same where something has to be there.
+    fn restore(&self) -> Option<State> {
+        self.adopt()?.map_err(|why| log::line(format!("nothing is known of a process before: {why}"))).ok()
     }
 
     /// Takes over what a process before has left. If it still runs, this one has the descriptors that it can spare,
@@ -157,10 +191,23 @@
     pub fn settle(self: &Rc<Self>, address: SocketAddr) {
         self.address.set(address);
         self.tell(Line::Ready);
-        let Some(path) = self.path("sock") else { return };
-        match self.listen(&path) {
-            Ok(listener) => drop(spawn_local(self.clone().accept(listener))),
-            Err(error) => log::line(format!("no upgrade can follow: {}: {error}", path.display())),
+        if let Some(path) = self.path("sock") {
+            spawn_local(self.clone().await_next(path));
+        }
+    }
+
+    /// Waits for the next process at this socket.
+    async fn await_next(self: Rc<Self>, path: PathBuf) {
+        let mut told = false;
+        loop {
+            match self.listen(&path) {
+                Ok(listener) => return self.accept(listener).await,
+                Err(error) if !std::mem::replace(&mut told, true) => {
+                    log::line(format!("no upgrade can follow yet: {}: {error}", path.display()));
+                }
+                Err(_) => {}
+            }
+            sleep(FOLDER_AGAIN).await;
         }
     }
 
@@ -216,9 +263,9 @@
         while let Ok(Some(line)) = lines.next_line().await {
             match serde_json::from_str(&line) {
                 Ok(Line::Hello) => {
-                    if let Err(error) = self.save() {
-                        log::line(format!("the new process learns nothing from this one: {error}"));
-                    }
+                    self.adopt();
+                    // One that can't be written now is told of later.
+                    let _ = self.keep();
                     let share = self.sockets / 2;
                     self.budget.limit(share);
                     self.server.make_room_down_to(share).await;
