Take what a balancer is told at its own start by the wall clock again

A new process that knows nothing, or an old list, took every upstream of its first list for one that has just started, and would turn calls away for as long as they would be cold. Change: what is told in the first list, and within 2 s of the start, goes by the wall clock. Tests: the_age_of_an_upstream_is_not_taken_from_a_clock_that_may_be_wrong has the three scopes of a first list now and fails without the change; tests/clocks.rs tells of the restart in a second list.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -102,7 +102,7 @@
             retries: 1.0,
             strain: 0.0,
             asking: Asking::default(),
-            starts: Starts::default(),
+            starts: Starts::new(now),
             idle: IdleTrust { trust: most, at: now, doubt: 0.0, doubted: most },
             cfg: settings,
         })
@@ -153,11 +153,12 @@
             // still frees its slots by its own outcomes.
             if u.learned.width == 0.0 || u.entry.since != entry.since {
                 (u.learned, u.returned) = (fresh, 0.0);
-                u.started = self.starts.began(entry.since, scope, self.now);
+                u.started = self.starts.began(entry.since, self.now);
             }
             u.out = self.out.contains_key(&entry.id);
             u.entry = entry;
         }
+        self.starts.note(scope, self.now);
         self.relist(actions);
     }
 
--- a/tests/clocks.rs
+++ b/tests/clocks.rs
@@ -57,6 +57,8 @@
     /// Discovery tells this program that the last one has started again.
     fn restart(&self, program: &Program, watch: &mut Watch, since: u64) {
         let other = endpoint("other", self.upstreams[0].address, "terminating");
+        // Nothing has changed before.
+        watch.line(&list(5, false, &[]));
         watch.line(&list(6, false, &[self.last(since), other]));
         until("that is told", || program.figure("upstreams_known") == 5);
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -277,13 +277,17 @@
         let taken = calls_of_the_last(&mut rig);
         assert!((least..=most).contains(&taken), "{taken}, told {late} s late");
     }
-    // The list of old tells of what lies behind it.
-    let mut rig = Rig::with_classes(&[Effect::Safe], 9);
-    let entries =
-        (1..=10).map(|id| UpstreamEntry { since: rig.now - if id == 10 { 20.0 } else { 0.0 }, ..entry(id) });
-    let entries = entries.collect();
-    rig.list(ListScope::Cached, entries);
-    assert!(calls_of_the_last(&mut rig) > 20, "it alone is warm");
+    // What a balancer is told at its own start lies behind it: ten that started long before take every call.
+    for scope in [ListScope::Cached, ListScope::Full, ListScope::Delta] {
+        let settings = Settings { classes: vec![class(Effect::Safe)], ..Settings::simple() };
+        let mut rig = Rig { balancer: Balancer::new(settings, 7, 100.0).unwrap(), now: 100.0 };
+        let since = rig.now - 20.0;
+        rig.list(scope, (1..=10).map(|id| UpstreamEntry { since, ..entry(id) }).collect());
+        for id in 1..=100 {
+            assert_eq!(sends(&rig.on(request(id, 0, 2.0))).len(), 1, "{scope:?}");
+            rig.on(end(id, 0, Outcome::Ok));
+        }
+    }
 }
 
 #[test]
