A soak from start to SIGKILL, drawn from a seed

Clients use their connections for as long as these stay open, signals come in series, upstreams fail, every third seed has a crowd; SIGKILL comes at the longest deadline and 0.7 s.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -31,6 +31,8 @@
     pub first: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// An upstream has told that it never began this request.
+    pub turned_away: bool,
 }
 
 impl Message {
@@ -205,8 +207,8 @@
     while let Some(request) = Message::read(&mut input)? {
         let body = format!("{} by {}", request.first, out.local_addr()?);
         let id = request.header("request-id").unwrap_or("").to_string();
-        let _ = seen.send(request);
         let asked = *reply.lock().unwrap();
+        let _ = seen.send(Message { turned_away: asked == Reply::NotStarted, ..request });
         let reply = if asked == Reply::Hold {
             let open = gate.0.lock().unwrap();
             drop(gate.1.wait_while(open, |open| !*open).unwrap());
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,197 @@
+//! A process from its start to SIGKILL, drawn from a seed: clients use their connections for as long as these stay open,
+//! signals come in series, upstreams fail, and some runs have a crowd of idle clients. SIGKILL comes at the earliest
+//! moment that the protocol allows.
+//!
+//! A few seeds run by default. `SOAK_SEEDS=FIRST..END` names others.
+
+mod peers;
+use peers::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{scope, sleep};
+use std::time::{Duration, Instant};
+
+const DEFAULT_SEEDS: Range<u64> = 1..9;
+/// The longest deadline of the classes.
+const DEADLINE: f64 = 0.5;
+/// SIGKILL comes so long after SIGTERM.
+const KILL: Duration = Duration::from_millis(1200);
+/// A final answer may be so late, and a busy machine takes its time.
+const LATE: Duration = Duration::from_millis(500);
+const BUSY: Duration = Duration::from_millis(1000);
+const CLIENTS: u64 = 8;
+/// Idle clients, more than there is room for.
+const CROWD: usize = 150;
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fate {
+    /// Answered with this status.
+    Answered(u16),
+    /// A new connection ended with no answer.
+    Cut,
+    /// Its connection ended between two requests, and nobody listens any more to whom it could be sent again.
+    Unheard,
+    /// Its client has left.
+    Left,
+}
+
+/// A request: its path, which is its own, what became of it, and how long that took.
+struct Asked {
+    path: String,
+    fate: Fate,
+    took: Duration,
+}
+
+fn seeds() -> Range<u64> {
+    let parse = |text: String| {
+        let (first, end) = text.split_once("..").expect("FIRST..END");
+        first.parse().unwrap()..end.parse().unwrap()
+    };
+    std::env::var("SOAK_SEEDS").map_or(DEFAULT_SEEDS, parse)
+}
+
+/// A client: it asks again and again, on one connection for as long as that stays open.
+struct Asker {
+    address: SocketAddr,
+    rng: Pcg64Mcg,
+    kept: Option<Client>,
+}
+
+impl Asker {
+    fn ask(&mut self, path: &str) -> Option<Fate> {
+        let first = self.kept.is_none();
+        let client = self.kept.take().or_else(|| Client::connect(self.address).ok())?;
+        let wait: f64 = self.rng.random_range(0.1..DEADLINE);
+        let headers = format!("Request-Id: {}\r\nRequest-Timeout: {wait:.3}\r\n", path.replace('/', "-"));
+        let fate = self.ask_on(client, path, &headers);
+        if fate != Fate::Cut || first {
+            return Some(fate);
+        }
+        // It crossed the end of a connection that rested: once more on a new one, as the same request.
+        let again = Client::connect(self.address).ok();
+        Some(again.map_or(Fate::Unheard, |client| self.ask_on(client, path, &headers)))
+    }
+
+    fn ask_on(&mut self, mut client: Client, path: &str, headers: &str) -> Fate {
+        let sent = client.send(path, headers, if path.starts_with("/pay") { "coins" } else { "" });
+        if sent.is_ok() && self.rng.random_bool(0.05) {
+            sleep(Duration::from_millis(self.rng.random_range(0..20)));
+            return Fate::Left;
+        }
+        let Ok(Some(answer)) = client.receive() else { return Fate::Cut };
+        let closes = answer.header("connection") == Some("close");
+        self.kept = Some(client).filter(|_| !closes);
+        Fate::Answered(answer.status())
+    }
+
+    fn ask_until(mut self, stop: &AtomicBool, name: &str) -> Vec<Asked> {
+        let mut asked = Vec::new();
+        while !stop.load(Ordering::SeqCst) {
+            let class = ["read", "pay"][self.rng.random_range(0..2)];
+            let (path, begun) = (format!("/{class}/{name}/{}", asked.len()), Instant::now());
+            let fate = self.ask(&path);
+            asked.extend(fate.map(|fate| Asked { path, fate, took: begun.elapsed() }));
+            sleep(Duration::from_millis(self.rng.random_range(1..25)));
+        }
+        asked
+    }
+}
+
+/// What upstreams do, and what is said to the program, until it has gone.
+fn trouble(rng: &mut Pcg64Mcg, program: &mut Program, upstreams: &[Upstream], configs: &[String]) {
+    let pause = |rng: &mut Pcg64Mcg, most| sleep(Duration::from_millis(rng.random_range(0..most)));
+    let replies = [Reply::Ok, Reply::Ok, Reply::NotStarted, Reply::Cut, Reply::Silent, Reply::Status(500)];
+    for _ in 0..rng.random_range(1..6) {
+        upstreams[rng.random_range(0..upstreams.len())].set(replies[rng.random_range(0..replies.len())]);
+        pause(rng, 150);
+    }
+    for _ in 0..rng.random_range(0..4) {
+        program.reload(&configs[rng.random_range(0..configs.len())]);
+        pause(rng, 120);
+    }
+    program.terminate();
+    let killed = Instant::now() + KILL;
+    for _ in 0..rng.random_range(0..4) {
+        match rng.random_bool(0.5) {
+            true => program.terminate(),
+            false => program.reload(&configs[rng.random_range(0..configs.len())]),
+        }
+        pause(rng, 200);
+    }
+    sleep(killed.saturating_duration_since(Instant::now()));
+    program.kill();
+}
+
+/// Plays this seed; what broke a rule.
+fn play(seed: u64) -> Vec<String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let crowded = seed % 3 == 0;
+    let upstreams: Vec<_> = (0..rng.random_range(2..5)).map(|_| Upstream::start(Reply::Ok)).collect();
+    let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let places = [DiscoveryPeer::start(), DiscoveryPeer::start()];
+    let config = |place: &DiscoveryPeer| {
+        config_of(&addresses, place.address, 128)
+            .replace("\"aim\":5.0,\"hardLimit\":10.0", &format!("\"aim\":0.25,\"hardLimit\":{DEADLINE}"))
+            .replace("\"connectTimeout\":1.0", "\"connectTimeout\":0.1")
+    };
+    let configs: Vec<_> = places.iter().map(config).collect();
+    let mut program = Program::start(&configs[0], "127.0.0.1:0");
+    let address = program.address;
+    let stop = AtomicBool::new(false);
+    let client = |number| Asker { address, rng: Pcg64Mcg::seed_from_u64(seed << 8 | number), kept: None };
+    let asked: Vec<Asked> = scope(|scope| {
+        let stop = &stop;
+        let ask = |number| scope.spawn(move || client(number).ask_until(stop, &format!("{seed}/{number}")));
+        let clients: Vec<_> = (0..CLIENTS).map(ask).collect();
+        let idle: Vec<_> = (0..if crowded { CROWD } else { 0 }).map(|_| Client::connect(address)).collect();
+        trouble(&mut rng, &mut program, &upstreams, &configs);
+        stop.store(true, Ordering::SeqCst);
+        drop(idle);
+        clients.into_iter().flat_map(|client| client.join().unwrap()).collect()
+    });
+    let mut runs = BTreeMap::<String, usize>::new();
+    let seen = upstreams.iter().flat_map(|upstream| upstream.seen.try_iter());
+    for message in seen.filter(|message| !message.turned_away) {
+        let path = message.first.split(' ').nth(1).unwrap_or_default().to_string();
+        *runs.entry(path).or_default() += 1;
+    }
+    let mut broken = Vec::new();
+    for Asked { path, fate, took } in &asked {
+        let (runs, safe) = (runs.get(path).copied().unwrap_or(0), path.starts_with("/read"));
+        let fault = match fate {
+            _ if !safe && runs > 1 => Some("run twice"),
+            Fate::Answered(200) if runs == 0 => Some("served by nobody"),
+            Fate::Answered(429 | 503) if !safe && runs > 0 => Some("refused though it may have run"),
+            Fate::Answered(400..=499) => Some("turned away as no proper request"),
+            Fate::Answered(_) if *took > Duration::from_secs_f64(DEADLINE) + LATE + BUSY => Some("late"),
+            Fate::Cut | Fate::Unheard if runs > 0 => Some("lost"),
+            // New connections may be shut unread where idle clients fill the descriptors.
+            Fate::Cut if !crowded => Some("cut on a new connection"),
+            _ => None,
+        };
+        broken.extend(
+            fault.map(|fault| format!("seed {seed}: {path} {fault}, {fate:?}, {runs} runs, {took:?}")),
+        );
+    }
+    let ended = |fate: Fate| asked.iter().filter(|asked| asked.fate == fate).count();
+    println!(
+        "seed {seed}: {} requests, {} served, {} cut, {} unheard, {} broke a rule",
+        asked.len(),
+        ended(Fate::Answered(200)),
+        ended(Fate::Cut),
+        ended(Fate::Unheard),
+        broken.len()
+    );
+    broken
+}
+
+#[test]
+fn no_request_is_lost_or_run_twice_from_start_to_kill() {
+    let broken: Vec<_> = seeds().flat_map(play).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
