Test of requests at once on a connection that is to end, failing

Seen: one of six is answered at SIGTERM, at /healthcheck/fail and on connections that are new by then.

--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -112,3 +112,53 @@
     assert!(program.wait().success());
     assert!(upstream.seen.try_recv().is_err());
 }
+
+/// So many requests at once, each in the name of this tag.
+fn at_once(tag: &str, count: usize) -> String {
+    let request =
+        |number| format!("GET /read/{number} HTTP/1.1\r\nHost: b\r\nRequest-Id: {tag}{number}\r\n\r\n");
+    (0..count).map(request).collect()
+}
+
+/// A request that has been read is lost if its connection ends without an answer to it: what came at once before the
+/// process is told to end, or clients are sent away, is answered to the last one, and that ends the connection.
+#[test]
+fn what_came_at_once_is_answered_before_its_connection_ends() {
+    let each_is_answered = |client: &mut Client, what: &str| {
+        for number in 0..6 {
+            let answer = client.receive().unwrap().unwrap_or_else(|| panic!("{what}, {number}"));
+            assert_eq!(
+                (answer.status(), answer.header("connection")),
+                (200, (number == 5).then_some("close"))
+            );
+        }
+        assert!(client.is_closed(), "{what}");
+    };
+    for ends in [true, false] {
+        let upstream = Upstream::start(Reply::Hold);
+        let (program, _discovery) = Program::with_console(&[upstream.address]);
+        let mut client = program.client();
+        client.write(&at_once("a", 6));
+        upstream.next();
+        if ends {
+            program.terminate();
+            until("it drains", || program.call("GET /healthcheck").0 == 503);
+        } else {
+            assert_eq!(program.call("POST /healthcheck/fail").0, 200);
+        }
+        upstream.release();
+        each_is_answered(&mut client, "those that waited");
+        let mut new = program.client();
+        new.write(&at_once("b", 6));
+        each_is_answered(&mut new, "those on a new connection");
+    }
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with(&[upstream.address]);
+    let mut client = program.client();
+    assert_eq!(client.ask("/read", "Request-Id: {id}\r\n", "").status(), 200);
+    program.hold();
+    client.write(&at_once("c", 6));
+    program.terminate();
+    program.go_on();
+    each_is_answered(&mut client, "those that had not been read");
+}
