Answer what came at once before its connection ends

Cause: while a process ends or sends clients away, the first answer had Connection: close, and requests that had been read behind it, into hyper's buffer or ahead of it, had none. Ruled out: requests that cross the close unread, which their clients send again. A close that is asked for while a request is being served is left to its answer. Besides: accept goes on at once only after the errors that accept(2) names for one connection, and waits after all others, lest an unknown one is asked for in a busy loop.

--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -3,7 +3,7 @@
 use crate::bodies::{Broken, Memory, Reply, Upload, CLIENT_STALL};
 use crate::driver::{Driver, Final, Taken, Untaken};
 use crate::log;
-use crate::socket::{is_own_limit, is_shortage, Budget, Purpose, Socket};
+use crate::socket::{is_over, is_own_limit, is_shortage, Budget, Purpose, Socket};
 use crate::stats::{Ending, Stats};
 use crate::upstream::{end_to_end, Content, Forward};
 use bytes::Bytes;
@@ -81,6 +81,8 @@
     waits: Cell<bool>,
     /// An answer is on its way in parts.
     streaming: Cell<bool>,
+    /// The request that is being served ends so many bytes from the connection's beginning, if that is known.
+    ends_at: Cell<Option<usize>>,
     /// What is left of the body of a request that has its answer is read to no end.
     discards: Cell<bool>,
     closing: Cell<bool>,
@@ -107,6 +109,7 @@
             asked: Cell::new(false),
             waits: Cell::new(false),
             streaming: Cell::new(false),
+            ends_at: Cell::new(None),
             discards: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
@@ -124,6 +127,11 @@
         self.socket.rest();
     }
 
+    /// Something has come behind the request that is being served.
+    fn has_more(&self) -> bool {
+        self.ends_at.get().is_some_and(|end| self.socket.read() > end || self.socket.has_unread())
+    }
+
     /// Closes it once it carries no request.
     fn close(&self) {
         self.closing.set(true);
@@ -218,6 +226,8 @@
     /// Clients are sent away; a number for each time that this began, none while they are welcome.
     away: Cell<Option<u64>>,
     last_away: Cell<u64>,
+    /// Until then requests are answered that came behind others, though their connection is to end.
+    serves_more_until: Cell<Option<Instant>>,
     stats: Rc<Stats>,
     memory: Rc<Memory>,
 }
@@ -250,6 +260,7 @@
             budget,
             away: Cell::new(None),
             last_away: Cell::new(0),
+            serves_more_until: Cell::new(None),
             stats,
             memory,
             clients: RefCell::default(),
@@ -269,12 +280,12 @@
                     shortages = shortages.saturating_sub(1);
                     self.admit(stream).await;
                 }
-                Err(error) if is_shortage(&error) => {
+                // The next in the queue may be a good one.
+                Err(error) if is_over(&error) => yield_now().await,
+                Err(error) => {
                     shortages += 1;
                     self.wait_out(shortages, &error).await;
                 }
-                // One connection has failed before it was taken, or the call was interrupted: the next may be there.
-                Err(_) => yield_now().await,
             }
         }
     }
@@ -296,6 +307,7 @@
     pub fn drain(&self, settled: Instant) {
         self.draining.set(Some(settled));
         self.late.set(Some(Instant::now() + LATE));
+        self.serves_more_until.set(Some(Instant::now() + LATE));
         self.driver.borrow_mut().settle(settled);
         self.clients.borrow().values().filter(|client| !client.fresh.get()).for_each(|client| client.close());
         self.driver.borrow().pool().clear();
@@ -313,6 +325,7 @@
         let number = self.last_away.get() + 1;
         self.last_away.set(number);
         self.away.set(Some(number));
+        self.serves_more_until.set(Some(Instant::now() + FRONT_NOTICES));
         let server = self.clone();
         spawn_local(async move {
             sleep(FRONT_NOTICES).await;
@@ -350,11 +363,11 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if Instant::now() >= until => return Err(error),
-                Err(error) if is_shortage(&error) => {
+                Err(error) if is_over(&error) => {}
+                Err(error) => {
                     shortages += 1;
                     self.wait_out(shortages, &error).await;
                 }
-                Err(_) => {}
             }
         }
     }
@@ -447,15 +460,23 @@
         self.draining.get().is_some() || self.away.get().is_some()
     }
 
+    /// True if the answer that is due now ends its connection. One that has been read is lost if its connection ends
+    /// without an answer to it, so what came with it goes on for a while.
+    fn ends_with_this(&self, client: &Client) -> bool {
+        let goes_on = self.serves_more_until.get().is_some_and(|until| Instant::now() < until);
+        self.sheds() && !(goes_on && client.has_more())
+    }
+
     async fn serve(self: Rc<Self>, number: u64, client: Rc<Client>, refused: bool) {
         let last = refused || self.sheds();
         let mut http = http1::Builder::new();
-        http.keep_alive(!last).max_buf_size(LARGEST_HEAD).max_headers(MOST_HEADERS);
+        http.keep_alive(!refused).max_buf_size(LARGEST_HEAD).max_headers(MOST_HEADERS);
         client.closing.set(last || client.closing.get());
         let service = service_fn(|request: Request<Incoming>| {
             let (server, client) = (&self, &client);
             async move {
                 client.discards.set(false);
+                client.ends_at.set(None);
                 client.idle.set(Some(if client.fresh.get() { client.opened } else { Instant::now() }));
                 let unread = !request.body().is_end_stream();
                 let refused = refused && !server.has_room_now(client).await;
@@ -467,7 +488,7 @@
                 // Whoever sends what can't be used may go on with what is no request at all.
                 let turned_away = refused || answer.status().is_client_error();
                 client.turned_away.set(turned_away && unread);
-                if server.sheds() || turned_away {
+                if turned_away || server.ends_with_this(client) {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 if !client.streaming.get() {
@@ -489,9 +510,9 @@
                     }
                     () = client.close.notified() => {
                         // Guards against closing on a request of which a part has come, read or not: its answer is
-                        // going to end the connection.
+                        // going to end the connection, unless that is on its way already.
                         let rests = client.socket.asking().is_none() && client.socket.is_quiet();
-                        if client.idle.get().is_none() || rests {
+                        if client.streaming.get() && !client.has_more() || rests {
                             connection.as_mut().graceful_shutdown();
                         }
                     }
@@ -610,8 +631,9 @@
             }
             // None is owed, as the client has left; it counts under no ending.
             Err(_) => {
-                client.close();
-                plain(StatusCode::BAD_GATEWAY, "its client has left")
+                let mut answer = plain(StatusCode::BAD_GATEWAY, "its client has left");
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                answer
             }
         }
     }
@@ -668,12 +690,14 @@
             }
             Some(id) => id.to_string(),
         };
+        let raw = raw_head(&client.socket.recent(), &name);
         // Guards against a request that hides another: beside a coding, a length may say otherwise, and not
         // everyone on the way believes the same of the two.
-        if head.headers.contains_key(TRANSFER_ENCODING) && !is_plainly_chunked(&client.socket.recent(), &name)
-        {
+        let chunked = head.headers.contains_key(TRANSFER_ENCODING);
+        if chunked && raw.as_ref().is_none_or(|raw| raw.has_length) {
             return Err(bad("the end of the body is unclear"));
         }
+        let body_begins = raw.map(|raw| client.socket.read() - raw.behind);
         let wait = number("request-timeout")?.unwrap_or(limit).min(limit);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or_default();
         let cost_hint = number("work-hint")?.map(|micros| micros / 1e6);
@@ -692,6 +716,8 @@
         })?;
         // Guards against a client that sends several requests at once and waits for the later ones from then on.
         upload.moved_at(client.socket.last_read());
+        let length = upload.length().filter(|_| !chunked);
+        client.ends_at.set(body_begins.zip(length).map(|(begin, length)| begin + length as usize));
         if head.method == Method::GET && upload.length() != Some(0) {
             return Err(bad("GET has no body"));
         }
@@ -733,24 +759,33 @@
     }
 }
 
-/// True if the head of the request of this name, as it came, has a coding and no length beside it. Whoever reads heads
-/// drops the one for the other, so that it has to be looked up in what came.
-fn is_plainly_chunked(recent: &[u8], name: &str) -> bool {
-    let (mut found, mut length) = (false, false);
-    for line in recent.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii) {
+/// The head of a request as it came.
+struct RawHead {
+    has_length: bool,
+    /// Bytes that have come behind it.
+    behind: usize,
+}
+
+/// Finds the head of the request of this name among the bytes that came last. Whoever reads heads drops a length for the
+/// sake of a coding, and tells nobody where a head has ended, so that both have to be looked up in what came.
+fn raw_head(recent: &[u8], name: &str) -> Option<RawHead> {
+    let (mut found, mut has_length, mut read) = (false, false, 0);
+    for line in recent.split_inclusive(|byte| *byte == b'\n') {
+        read += line.len();
+        let line = line.trim_ascii();
         let mut parts = line.splitn(2, |byte| *byte == b':');
         let (header, value) = (parts.next().unwrap_or(line), parts.next().unwrap_or_default());
         match header {
-            [] if found => return !length,
-            [] => length = false,
-            _ if header.eq_ignore_ascii_case(b"content-length") => length = true,
+            [] if found => return Some(RawHead { has_length, behind: recent.len() - read }),
+            [] => has_length = false,
+            _ if header.eq_ignore_ascii_case(b"content-length") => has_length = true,
             _ if header.eq_ignore_ascii_case(b"request-id") => {
                 found = value.trim_ascii() == name.as_bytes();
             }
             _ => {}
         }
     }
-    false
+    None
 }
 
 /// Why a request was not taken.
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -67,6 +67,25 @@
     is_shortage(error) || error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
 }
 
+/// True for an error of accept that is over with the call: it was interrupted, or the connection that was next in the
+/// queue has failed. See accept(2).
+pub fn is_over(error: &io::Error) -> bool {
+    const OVER: [i32; 11] = [
+        libc::EINTR,
+        libc::ECONNABORTED,
+        libc::EPERM,
+        libc::EPROTO,
+        libc::ENETDOWN,
+        libc::ENOPROTOOPT,
+        libc::EHOSTDOWN,
+        libc::ENONET,
+        libc::EHOSTUNREACH,
+        libc::EOPNOTSUPP,
+        libc::ENETUNREACH,
+    ];
+    error.raw_os_error().is_some_and(|number| OVER.contains(&number))
+}
+
 /// True for the error that says that this process holds as many descriptors as it may.
 pub fn is_own_limit(error: &io::Error) -> bool {
     error.raw_os_error() == Some(libc::EMFILE)
