--- a/tests/unit/config.rs
+++ b/tests/unit/config.rs
@@ -43,12 +43,14 @@
 #[test]
 fn a_bad_field_is_named() {
     type Change = fn(&mut Value);
-    let cases: [(Change, &str); 7] = [
+    let cases: [(Change, &str); 9] = [
         (|f| f["console"] = json!("there"), "PROXY_CONSOLE"),
         (|f| f["listen"] = json!("here"), "PROXY_LISTEN"),
         (|f| f["discovery"] = Value::Null, "PROXY_DISCOVERY"),
         (|f| f["seed"] = json!("xyz"), "seed"),
         (|f| f["limits"]["sockets"] = json!(3), "limits.sockets"),
+        (|f| f["limits"]["memory_mb"] = json!(0), "limits.memory_mb"),
+        (|f| f["limits"]["memory_mb"] = json!(-5), "limits.memory_mb"),
         (|f| f["settings"]["classes"][0]["aim"] = json!("soon"), "classes.0.aim"),
         (|f| f["settings"]["classes"] = json!([]), "class"),
     ];
