Refuse a limit of no memory at the start

Cause: limits.memory_mb of 0 or less was taken, and the least of memory used. JSON has no NaN. Found by starting with each key left out or bad in turn; all others were taken with a default or refused in one line, with exit code 1.

--- a/src/bin/magpiechute/config.rs
+++ b/src/bin/magpiechute/config.rs
@@ -25,6 +25,8 @@
     Seed(String),
     #[error("limits.sockets: {0} are too few, {1} is the least")]
     Sockets(usize, usize),
+    #[error("limits.memory_mb: {0} is out of range")]
+    Memory(f64),
     #[error("settings: must be an object")]
     NoSettings,
     #[error("{0}")]
@@ -128,6 +130,9 @@
         if file.limits.sockets < LEAST_SOCKETS {
             return Err(ConfigError::Sockets(file.limits.sockets, LEAST_SOCKETS));
         }
+        if file.limits.memory_mb <= 0.0 {
+            return Err(ConfigError::Memory(file.limits.memory_mb));
+        }
         if !file.settings.is_object() {
             return Err(ConfigError::NoSettings);
         }
