--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -203,6 +203,27 @@
     assert_eq!(program.figure("upstreams_excluded"), 0);
 }
 
+/// Nor does one that sends a streamed body byte by byte for ever: a body comes with 32 kB/s on the mean.
+#[test]
+fn a_streamed_body_that_comes_byte_by_byte_frees_its_upstream() {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = Program::with_console(&[upstream.address]);
+    let mut client = program.client();
+    client.write("POST /pay HTTP/1.1\r\nRequest-Id: ee03\r\nContent-Length: 900000\r\n\r\n");
+    client.write(&bytes(80_000));
+    let mut write = client.writer();
+    // It fails once the program has closed the connection.
+    thread::spawn(move || {
+        while write("x").is_ok() {
+            thread::sleep(Duration::from_millis(50))
+        }
+    });
+    upstream.closed.recv_timeout(PATIENCE).expect("its connection is closed");
+    assert!(upstream.seen.try_recv().is_err());
+    assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200);
+    assert_eq!(program.figure("upstreams_excluded"), 0);
+}
+
 /// Guards against bodies that pile up in memory because one side is slower than the other.
 #[test]
 fn many_large_bodies_at_a_time_take_little_memory() {
