Hold streamed bodies to the rate that others have to keep

Time in which the upstream takes nothing does not count. Result: a_streamed_body_that_comes_byte_by_byte_frees_its_upstream passes; 20 s and more without the change.

--- a/src/bin/magpiechute/bodies.rs
+++ b/src/bin/magpiechute/bodies.rs
@@ -287,7 +287,8 @@
         }
         let upload = self.upload.clone();
         let part = upload.poll_rest(cx);
-        match ready!(self.stall.poll(cx, part)) {
+        let all = CLIENT_STALL + Duration::from_secs_f64(upload.read.get() as f64 / LEAST_RATE);
+        match ready!(self.stall.poll(cx, part, all)) {
             Ok(Some(Ok(data))) => {
                 self.note_end();
                 Poll::Ready(Some(Ok(Frame::data(data))))
@@ -312,26 +313,33 @@
     }
 }
 
-/// How long a peer may take for the next part of a body. Time in which nobody asks for it does not count.
+/// How long a peer may take for the next part of a body, and for all of them. Time in which nobody asks for a part does
+/// not count.
 struct Stall {
     most: Duration,
     sleep: Pin<Box<Sleep>>,
-    waits: bool,
+    /// Since when the next part is waited for.
+    since: Option<Instant>,
+    /// For how long earlier ones were.
+    waited: Duration,
 }
 
 impl Stall {
     fn new(most: Duration) -> Self {
-        Stall { most, sleep: Box::pin(sleep(most)), waits: false }
+        Stall { most, sleep: Box::pin(sleep(most)), since: None, waited: Duration::ZERO }
     }
 
-    /// Looks at the peer: ready with what it has sent, or with an error once it has taken too long.
-    fn poll<T>(&mut self, cx: &mut Context<'_>, peer: Poll<T>) -> Poll<Result<T, Broken>> {
+    /// Looks at the peer: ready with what it has sent, or with an error once it has taken too long, for all parts so far
+    /// longer than `all`.
+    fn poll<T>(&mut self, cx: &mut Context<'_>, peer: Poll<T>, all: Duration) -> Poll<Result<T, Broken>> {
         if let Poll::Ready(part) = peer {
-            self.waits = false;
+            self.waited += self.since.take().map_or(Duration::ZERO, |since| since.elapsed());
             return Poll::Ready(Ok(part));
         }
-        if !std::mem::replace(&mut self.waits, true) {
-            self.sleep.as_mut().reset(Instant::now() + self.most);
+        if self.since.is_none() {
+            let now = Instant::now();
+            self.since = Some(now);
+            self.sleep.as_mut().reset(now + self.most.min(all.saturating_sub(self.waited)));
         }
         self.sleep.as_mut().poll(cx).map(|()| Err(Broken::Stalled))
     }
@@ -378,7 +386,7 @@
         }
         loop {
             let frame = Pin::new(&mut self.rest).poll_frame(cx);
-            let data = match ready!(self.stall.poll(cx, frame)) {
+            let data = match ready!(self.stall.poll(cx, frame, Duration::MAX)) {
                 Ok(Some(Ok(frame))) => frame.into_data(),
                 Ok(Some(Err(_))) => return Poll::Ready(Some(Err(Broken::Cut))),
                 Ok(None) => {
