--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -156,3 +156,22 @@
         }
     }
 }
+
+/// A signal is heard, and ends nothing that it should not, though the calls that tell of it inside the process are
+/// interrupted.
+#[test]
+fn signals_are_heard_though_the_calls_that_tell_of_them_are_interrupted() {
+    for call in ["recv", "send", "write"] {
+        let upstream = Upstream::start(Reply::Ok);
+        let known = list(5, true, &[endpoint("u0", upstream.address, "in_service")]);
+        let (first, second) = (DiscoveryPeer::start(), DiscoveryPeer::start());
+        let faults = format!("{call}:{EINTR}:1:1:3");
+        let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", &faults)];
+        let mut program = Program::start_with(&variables, &config(&known, first.address, 256), "127.0.0.1:0");
+        program.reload(&config(&known, second.address, 256));
+        second.next();
+        assert_eq!(program.client().ask("/read", ID, "").status(), 200, "{call}");
+        program.terminate();
+        assert!(program.wait().success(), "{call}");
+    }
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,5 +1,5 @@
 //! A process from its start to SIGKILL, drawn from a seed: clients use their connections for as long as these stay open,
-//! signals come in series, upstreams fail, and some runs have a crowd of idle clients. SIGKILL comes at the earliest
+//! signals come in series, upstreams fail, some runs have a crowd of idle clients, and in some system calls fail. SIGKILL comes at the earliest
 //! moment that the protocol allows.
 //!
 //! A few seeds run by default. `SOAK_SEEDS=FIRST..END` names others.
@@ -132,6 +132,30 @@
     told
 }
 
+/// System calls that fail for a moment while the program runs, and by how much its wall clock is wrong.
+fn faults(rng: &mut Pcg64Mcg) -> (String, &'static str) {
+    const CALLS: [(&str, u32); 12] = [
+        ("accept4", 103),
+        ("accept4", 105),
+        ("accept4", 24),
+        ("accept4", 4),
+        ("connect", 101),
+        ("connect", 99),
+        ("connect", 4),
+        ("socket", 23),
+        ("recv", 4),
+        ("writev", 4),
+        ("poll", 4),
+        ("epoll_wait", 4),
+    ];
+    let mut fault = || {
+        let (call, error) = CALLS[rng.random_range(0..CALLS.len())];
+        format!("{call}:{error}:{}:{}:1000000", rng.random_range(1..20), rng.random_range(2..9))
+    };
+    let faults = [fault(), fault(), fault()].join(",");
+    (faults, ["0", "5", "-5", "3600", "-3600"][rng.random_range(0..5)])
+}
+
 /// Plays this seed; what broke a rule.
 fn play(seed: u64) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -145,7 +169,9 @@
             .replace("\"connectTimeout\":1.0", "\"connectTimeout\":0.1")
     };
     let configs: Vec<_> = places.iter().map(config).collect();
-    let mut program = Program::start(&configs[0], "127.0.0.1:0");
+    let (faults, wall) = if seed % 2 == 0 { faults(&mut rng) } else { (String::new(), "0") };
+    let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", &faults), ("FAULTS_WALL", wall)];
+    let mut program = Program::start_with(&variables, &configs[0], "127.0.0.1:0");
     let address = program.address;
     let stop = AtomicBool::new(false);
     let client = |number| Asker { address, rng: Pcg64Mcg::seed_from_u64(seed << 8 | number), kept: None };
@@ -187,7 +213,7 @@
     }
     let ended = |fate: Fate| asked.iter().filter(|asked| asked.fate == fate).count();
     println!(
-        "seed {seed}: {} requests, {} served, {} cut, {} unheard, {} broke a rule",
+        "seed {seed}: {} requests, {} served, {} cut, {} unheard, {} broke a rule {faults} {wall}",
         asked.len(),
         ended(Fate::Answered(200)),
         ended(Fate::Cut),
