Hear signals by a flag and a socket of our own

Cause: tokio 1.54 reads its self-pipe with a panic on any error but EWOULDBLOCK (runtime/signal/mod.rs:121), and a panic ends the process: SIGHUP or SIGTERM together with one interrupted recv was a crash. A byte that its handler could not write was a signal that nobody heard. Change: src/bin/magpiechute/signals.rs on signal-hook: the handler sets a flag and then writes to a pair of sockets; the flag is looked at every 0.2 s besides. Result: signals_are_heard_though_the_calls_that_tell_of_them_are_interrupted passes; SIGABRT or an unheard signal without the change.

--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod log;
 mod server;
+mod signals;
 mod socket;
 mod stats;
 mod upgrade;
@@ -16,6 +17,7 @@
 use config::Config;
 use driver::Driver;
 use server::Server;
+use signals::{Signal, SIGHUP, SIGINT, SIGTERM};
 use socket::Budget;
 use std::cell::RefCell;
 use std::error::Error;
@@ -25,7 +27,6 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 use upgrade::Upgrade;
@@ -69,10 +70,10 @@
 }
 
 async fn run() -> Result<(), Box<dyn Error>> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let terminate = Signal::listen(SIGTERM)?;
+    let interrupt = Signal::listen(SIGINT)?;
     // Guards against an end by SIGHUP before there is anything to load again.
-    let mut hangup = signal(SignalKind::hangup())?;
+    let hangup = Signal::listen(SIGHUP)?;
     let config = Config::load()?;
     let (name, address, sockets) = (config.name.clone(), config.listen, config.sockets);
     let budget = Budget::new(sockets, config.console.is_some());
@@ -102,7 +103,8 @@
     });
     let reloaded = driver.clone();
     spawn_local(async move {
-        while hangup.recv().await.is_some() {
+        loop {
+            hangup.received().await;
             reload(&reloaded);
         }
     });
@@ -116,8 +118,8 @@
     };
     tokio::select! {
         () = ready => {}
-        _ = terminate.recv() => return Ok(()),
-        _ = interrupt.recv() => return Ok(()),
+        () = terminate.received() => return Ok(()),
+        () = interrupt.received() => return Ok(()),
     }
     let listener =
         server::listen(address, true).await.map_err(|error| format!("listen on {address}: {error}"))?;
@@ -127,8 +129,8 @@
     log::line(format!("{name} listens on {address}"));
     tokio::select! {
         () = server.accept(&listener) => {}
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = terminate.received() => {}
+        () = interrupt.received() => {}
     }
     log::line(format!("{name} drains"));
     let longest = Duration::try_from_secs_f64(longest).unwrap_or_default();
