--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -125,6 +125,10 @@
     fn rest(&self) {
         self.idle.set(Some(Instant::now()));
         self.socket.rest();
+        // Heads are looked for in what came last: the fewer bytes the better.
+        if self.ends_at.get() == Some(self.socket.read()) {
+            self.socket.forget_recent();
+        }
     }
 
     /// Something has come behind the request that is being served.
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -367,6 +367,11 @@
         self.0.asking.get()
     }
 
+    /// Keeps nothing of what has been read so far.
+    pub fn forget_recent(&self) {
+        self.0.recent.borrow_mut().clear();
+    }
+
     /// The bytes that were read last, for as many as are kept.
     pub fn recent(&self) -> Ref<'_, Vec<u8>> {
         self.0.recent.borrow()
