--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -6,10 +6,12 @@
 mod discovery;
 mod driver;
 mod log;
+mod raw_head;
 mod server;
 mod signals;
 mod socket;
 mod stats;
+mod system_errors;
 mod upgrade;
 mod upstream;
 
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -3,8 +3,10 @@
 use crate::bodies::{Broken, Memory, Reply, Upload, CLIENT_STALL};
 use crate::driver::{Driver, Final, Taken, Untaken};
 use crate::log;
-use crate::socket::{is_over, is_own_limit, is_shortage, Budget, Purpose, Socket};
+use crate::raw_head::RawHead;
+use crate::socket::{Budget, Purpose, Socket};
 use crate::stats::{Ending, Stats};
+use crate::system_errors::{is_over, is_own_limit, is_shortage};
 use crate::upstream::{end_to_end, Content, Forward};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -232,6 +234,8 @@
     last_away: Cell<u64>,
     /// Until then requests are answered that came behind others, though their connection is to end.
     serves_more_until: Cell<Option<Instant>>,
+    /// When the log last told of a failed accept.
+    accept_failed: Cell<Option<Instant>>,
     stats: Rc<Stats>,
     memory: Rc<Memory>,
 }
@@ -265,6 +269,7 @@
             away: Cell::new(None),
             last_away: Cell::new(0),
             serves_more_until: Cell::new(None),
+            accept_failed: Cell::new(None),
             stats,
             memory,
             clients: RefCell::default(),
@@ -297,7 +302,8 @@
     /// Waits before the next accept. A passing shortage must not cost other clients their connections; where the
     /// process itself holds too many descriptors for long, one is closed.
     async fn wait_out(&self, shortages: u32, error: &io::Error) {
-        if shortages % LASTING_SHORTAGE == 1 {
+        if self.accept_failed.get().is_none_or(|last| last.elapsed() > IDLE) {
+            self.accept_failed.set(Some(Instant::now()));
             log::line(format!("accept: {error}"));
         }
         if shortages >= LASTING_SHORTAGE && is_own_limit(error) {
@@ -367,7 +373,7 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if Instant::now() >= until => return Err(error),
-                Err(error) if is_over(&error) => {}
+                Err(error) if is_over(&error) => yield_now().await,
                 Err(error) => {
                     shortages += 1;
                     self.wait_out(shortages, &error).await;
@@ -694,7 +700,7 @@
             }
             Some(id) => id.to_string(),
         };
-        let raw = raw_head(&client.socket.recent(), &name);
+        let raw = RawHead::find(&client.socket.recent(), &name);
         // Guards against a request that hides another: beside a coding, a length may say otherwise, and not
         // everyone on the way believes the same of the two.
         let chunked = head.headers.contains_key(TRANSFER_ENCODING);
@@ -763,35 +769,6 @@
     }
 }
 
-/// The head of a request as it came.
-struct RawHead {
-    has_length: bool,
-    /// Bytes that have come behind it.
-    behind: usize,
-}
-
-/// Finds the head of the request of this name among the bytes that came last. Whoever reads heads drops a length for the
-/// sake of a coding, and tells nobody where a head has ended, so that both have to be looked up in what came.
-fn raw_head(recent: &[u8], name: &str) -> Option<RawHead> {
-    let (mut found, mut has_length, mut read) = (false, false, 0);
-    for line in recent.split_inclusive(|byte| *byte == b'\n') {
-        read += line.len();
-        let line = line.trim_ascii();
-        let mut parts = line.splitn(2, |byte| *byte == b':');
-        let (header, value) = (parts.next().unwrap_or(line), parts.next().unwrap_or_default());
-        match header {
-            [] if found => return Some(RawHead { has_length, behind: recent.len() - read }),
-            [] => has_length = false,
-            _ if header.eq_ignore_ascii_case(b"content-length") => has_length = true,
-            _ if header.eq_ignore_ascii_case(b"request-id") => {
-                found = value.trim_ascii() == name.as_bytes();
-            }
-            _ => {}
-        }
-    }
-    None
-}
-
 /// Why a request was not taken.
 struct Bad(StatusCode, String);
 
--- a/src/bin/magpiechute/socket.rs
+++ b/src/bin/magpiechute/socket.rs
@@ -1,8 +1,9 @@
 //! Sockets: one budget of descriptors for all of them, and what was read and written on each.
 
 use crate::stats::Stats;
+use crate::system_errors::{is_local, is_shortage, uninterrupted};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use nix::libc::{self, POLLRDHUP};
+use nix::libc::POLLRDHUP;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::SockRef;
 use std::cell::{Cell, Ref, RefCell};
@@ -43,54 +44,6 @@
 /// This part of what is left is for upstreams alone.
 const UPSTREAM_PART: f64 = 0.4;
 
-/// True for an error of the system that says that this process or machine is short of descriptors, buffers or memory.
-pub fn is_shortage(error: &io::Error) -> bool {
-    const SHORTAGES: [i32; 4] = [libc::ENFILE, libc::EMFILE, libc::ENOBUFS, libc::ENOMEM];
-    error.raw_os_error().is_some_and(|number| SHORTAGES.contains(&number))
-}
-
-/// Makes a call again that was interrupted.
-fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
-    loop {
-        match call() {
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            result => return result,
-        }
-    }
-}
-
-/// True for an error of connect that says nothing of the other side: this machine lacks something for the moment, a
-/// local port or a route included, or the call was interrupted.
-fn is_local(error: &io::Error) -> bool {
-    const LOCAL: [i32; 6] =
-        [libc::EINTR, libc::EAGAIN, libc::EADDRINUSE, libc::EADDRNOTAVAIL, libc::ENETDOWN, libc::ENETUNREACH];
-    is_shortage(error) || error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
-}
-
-/// True for an error of accept that is over with the call: it was interrupted, or the connection that was next in the
-/// queue has failed. See accept(2).
-pub fn is_over(error: &io::Error) -> bool {
-    const OVER: [i32; 11] = [
-        libc::EINTR,
-        libc::ECONNABORTED,
-        libc::EPERM,
-        libc::EPROTO,
-        libc::ENETDOWN,
-        libc::ENOPROTOOPT,
-        libc::EHOSTDOWN,
-        libc::ENONET,
-        libc::EHOSTUNREACH,
-        libc::EOPNOTSUPP,
-        libc::ENETUNREACH,
-    ];
-    error.raw_os_error().is_some_and(|number| OVER.contains(&number))
-}
-
-/// True for the error that says that this process holds as many descriptors as it may.
-pub fn is_own_limit(error: &io::Error) -> bool {
-    error.raw_os_error() == Some(libc::EMFILE)
-}
-
 /// What a socket is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
--- a/src/bin/magpiechute/upgrade.rs
+++ b/src/bin/magpiechute/upgrade.rs
@@ -27,8 +27,10 @@
 const ROOM: Duration = Duration::from_millis(500);
 /// After a failed accept the next try comes this much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
-/// What the folder has not taken, state or socket, is tried again this much later.
-const FOLDER_AGAIN: Duration = Duration::from_millis(100);
+/// A state that the folder has not taken is written again this much later,
+const STATE_AGAIN: Duration = Duration::from_millis(100);
+/// and a socket, which some folders never take, this much later.
+const SOCKET_AGAIN: Duration = Duration::from_millis(500);
 
 /// What outlasts a process.
 #[derive(Debug, Serialize, Deserialize)]
@@ -131,7 +133,7 @@
 
     async fn keep_later(self: Rc<Self>) {
         while self.unsaved.get() {
-            sleep(FOLDER_AGAIN).await;
+            sleep(STATE_AGAIN).await;
             self.unsaved.set(self.save().is_err());
         }
         self.tell(Line::State);
@@ -207,7 +209,7 @@
                 }
                 Err(_) => {}
             }
-            sleep(FOLDER_AGAIN).await;
+            sleep(SOCKET_AGAIN).await;
         }
     }
 
--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -1,8 +1,9 @@
 //! Attempts at upstreams, and the idle connections that they leave behind.
 
 use crate::bodies::{Download, Memory, Sending, Upload, HELD_BACK, LARGEST_BODY, READ_AHEAD};
-use crate::socket::{is_shortage, Budget, Peer, Purpose, Socket};
+use crate::socket::{Budget, Peer, Purpose, Socket};
 use crate::stats::Stats;
+use crate::system_errors::is_shortage;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
