--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -638,3 +638,35 @@
         bad.set(Reply::Ok);
     }
 }
+
+/// A 504 that says that the request was never started counts like such a 503: it goes elsewhere, also an unsafe one.
+#[test]
+fn a_request_that_was_never_started_goes_elsewhere_whatever_the_status() {
+    for status in [503, 504] {
+        let answer = format!("HTTP/1.1 {status} Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+        let (busy, free) = (Upstream::raw(&answer), Upstream::start(Reply::Ok));
+        let (program, _discovery) = Program::with(&[busy.address, free.address]);
+        for _ in 0..6 {
+            assert_eq!(program.client().ask("/pay", ID, "coins").status(), 200, "{status}");
+        }
+        assert!(busy.seen.try_iter().count() > 0, "{status}");
+    }
+}
+
+/// An idle connection is not used once it has been idle for the time in the settings, though the program stood still as
+/// that ran out and the upstream has not closed it yet.
+#[test]
+fn a_connection_that_was_idle_for_too_long_is_not_used_again() {
+    let (upstream, discovery) = (Upstream::start(Reply::Ok), DiscoveryPeer::start());
+    let config = config_of(&[upstream.address], discovery.address, 256)
+        .replace("\"connIdle\":30.0", "\"connIdle\":1.0");
+    let program = Program::start(&config, "127.0.0.1:0");
+    let mut client = program.client();
+    assert_eq!(client.ask("/pay", ID, "coins").status(), 200);
+    program.hold();
+    std::thread::sleep(Duration::from_millis(1050));
+    client.send("/pay", ID, "coins").unwrap();
+    program.go_on();
+    assert_eq!(client.receive().unwrap().expect("an answer").status(), 200);
+    assert_eq!(upstream.connections.load(std::sync::atomic::Ordering::SeqCst), 2);
+}
