--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -71,6 +71,28 @@
     }
 }
 
+/// Nor does a shortage at each second call keep many so long that the listener closes first: with deadlines of 0.5 s that
+/// is 0.95 s after SIGTERM.
+#[test]
+fn many_connections_are_taken_in_time_though_each_second_accept_fails() {
+    for error in [ENOBUFS, ENFILE, EMFILE] {
+        let (upstream, discovery) = (Upstream::start(Reply::Ok), DiscoveryPeer::start());
+        let config = config_of(&[upstream.address], discovery.address, 1024)
+            .replace("\"aim\":5.0,\"hardLimit\":10.0", "\"aim\":0.5,\"hardLimit\":0.5");
+        let faults = format!("accept4:{error}:1:2:{ALWAYS}");
+        let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", &faults)];
+        let program = Program::start_with(&variables, &config, "127.0.0.1:0");
+        program.hold();
+        let mut clients: Vec<_> = (0..200).map(|_| program.client()).collect();
+        clients.iter_mut().for_each(|client| client.send("/read", ID, "").unwrap());
+        program.terminate();
+        program.go_on();
+        for client in &mut clients {
+            assert!(client.receive().is_ok_and(|answer| answer.is_some()), "error {error}");
+        }
+    }
+}
+
 /// Errors of connect that speak of this machine cost no request its answer, and no upstream its turns.
 #[test]
 fn a_connect_that_fails_for_a_moment_costs_no_answer_and_no_upstream_its_turns() {
