Hear all that discovery has sent in one turn

Cause: hyper's connection and the reader of its answer were polled in an order drawn by select!, in one task. Where the reader came first, or a list had several pieces, it was heard in a later turn than a request that came with it, whose attempt had begun by then. Seen: after a stop, requests went to an upstream whose drain had been told with them. Change: both are polled until neither gets on (read_all).

--- a/src/bin/magpiechute/discovery.rs
+++ b/src/bin/magpiechute/discovery.rs
@@ -7,11 +7,12 @@
 use hyper::client::conn::http1;
 use hyper::Request;
 use serde::Deserialize;
-use std::cell::RefCell;
-use std::future::Future;
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::time::{sleep, Instant, Sleep};
 
@@ -97,6 +98,7 @@
     let patience = if asked && since.is_some() { ASKED } else { PUSHED };
     let mut patience = Patience::new(patience);
     let silent = || driver.borrow_mut().list_silent(number);
+    let taken = Cell::new(0);
     let read = async {
         let mut answer = pin!(sender.send_request(request));
         let response = match patience.wait(&mut answer, silent).await {
@@ -114,6 +116,7 @@
                 Some(Err(error)) => return error.to_string(),
                 None => return "the watch ended".into(),
             };
+            taken.set(taken.get() + 1);
             match messages.take(&chunk, |list| driver.borrow_mut().list_changed(number, list)) {
                 Ok(true) => {
                     driver.borrow_mut().list_lives(number);
@@ -124,12 +127,30 @@
             }
         }
     };
-    let mut read = pin!(read);
-    tokio::select! {
-        why = &mut read => why,
-        // What came before the end is still to be read.
-        _ = connection => read.await,
-    }
+    read_all(connection, read, &taken).await
+}
+
+/// Polls the connection and the reader of its answer until neither gets on, so that all that has come is heard in one
+/// turn. Guards against a request of the same turn that is sent on before a drain that was told with it is heard.
+async fn read_all(
+    connection: impl Future<Output = hyper::Result<()>>,
+    read: impl Future<Output = String>,
+    taken: &Cell<u64>,
+) -> String {
+    let (mut connection, mut read) = (pin!(connection), pin!(read));
+    let mut over = false;
+    poll_fn(|context| loop {
+        let before = taken.get();
+        // What came before its end is still to be read.
+        over = over || connection.as_mut().poll(context).is_ready();
+        if let Poll::Ready(why) = read.as_mut().poll(context) {
+            return Poll::Ready(why);
+        }
+        if taken.get() == before {
+            return Poll::Pending;
+        }
+    })
+    .await
 }
 
 /// How long a watch may be silent, and whether that has been told.
