Test of a discovery that was away for long in large fleets, failing

A fleet of 90 balancers and more waits longer from the fifth failed call in a row on, also where no connection came up, so it hears late of a discovery that was away for 20 s.

--- a/tests/unit/told.rs
+++ b/tests/unit/told.rs
@@ -161,7 +161,17 @@
 
 /// A balancer that knows an old list of this discovery.
 fn start(discovery: SocketAddr, mode: Discovery, seed: u64) -> Rc<RefCell<Driver>> {
-    let mut settings = Settings { discovery: mode, ..Settings::simple() };
+    start_in_fleet(discovery, mode, seed, 1)
+}
+
+/// The same, one of so many.
+fn start_in_fleet(
+    discovery: SocketAddr,
+    mode: Discovery,
+    seed: u64,
+    peers_total: usize,
+) -> Rc<RefCell<Driver>> {
+    let mut settings = Settings { discovery: mode, peers_total, ..Settings::simple() };
     settings.rules.told = 6.0;
     let config = Config {
         name: "n".into(),
@@ -299,6 +309,29 @@
     });
 }
 
+/// Guards against waits that grow beyond the time after which news count as told, as those after calls that had to wait
+/// in turn do in a large fleet, where no call has come to discovery at all: none of them has cost it anything.
+#[test]
+fn discovery_that_was_away_for_long_is_heard_in_time_in_a_fleet_of_any_size() {
+    run(async {
+        let mut late = Vec::new();
+        for (peers_total, shut) in [30, 300, 8700].iter().flat_map(|n| [(*n, false), (*n, true)]) {
+            for (seed, away) in (0..8).flat_map(|seed| [(seed, 20), (seed, 60)]) {
+                let discovery = Stand::down(&[]);
+                if shut {
+                    discovery.shut();
+                }
+                let driver = start_in_fleet(discovery.address, Discovery::Ask, seed, peers_total);
+                pass(away).await;
+                discovery.open();
+                let time = told(&driver, &discovery).await;
+                late.extend((time > TOLD).then(|| format!("{peers_total} {shut} {away} {time:?}")));
+            }
+        }
+        assert!(late.is_empty(), "{late:#?}");
+    });
+}
+
 /// Guards against calls that are given up and made again for ever where discovery lets them wait for long, and
 /// against asking for the same once more when one of them has had its turn.
 #[test]
