--- a/tests/unit/told.rs
+++ b/tests/unit/told.rs
@@ -332,6 +332,24 @@
     });
 }
 
+/// Guards against the same where discovery, or what stands before it, said no at once to many calls in a row.
+#[test]
+fn discovery_that_refused_many_calls_at_once_is_heard_in_time_in_a_fleet_of_any_size() {
+    run(async {
+        let mut late = Vec::new();
+        for (peers_total, call) in [30, 300, 8700].iter().flat_map(|n| [(*n, Refused), (*n, Reset)]) {
+            for (seed, count) in (0..8).flat_map(|seed| [(seed, 5), (seed, 9)]) {
+                let discovery = Stand::up(&vec![call; count]);
+                let driver = start_in_fleet(discovery.address, Discovery::Ask, seed, peers_total);
+                until(|| discovery.calls() == count).await;
+                let time = told(&driver, &discovery).await;
+                late.extend((time > TOLD).then(|| format!("{peers_total} {call:?} {count} {time:?}")));
+            }
+        }
+        assert!(late.is_empty(), "{late:#?}");
+    });
+}
+
 /// Guards against calls that are given up and made again for ever where discovery lets them wait for long, and
 /// against asking for the same once more when one of them has had its turn.
 #[test]
