Let no wait grow for calls to discovery that fail at once

Cause: Asking::note (src/asking.rs) doubled the waits of fleets of 90 balancers and more from the fifth failure in a row on, whatever had failed. A call that is refused, reset or has no connection at once costs discovery nothing, and after 20 s of these the waits were over 6 s. Ruled out: the wait before that, 3.6 s at the most, and pushed lists, which held. Change: only calls that failed after 0.6 s and more, in turn, count beyond the fourth; what a quick one took comes off the wait.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -18,8 +18,8 @@
 /// So far apart, in seconds, are the calls of all peers after failures, on the mean: what one is let cost
 /// discovery.
 const APART: f64 = 0.04;
-/// Calls that may fail in a row before waits grow beyond the longest. Discovery that refuses so many can't be
-/// reached.
+/// Calls that may fail in a row, refused after they have waited in turn, before waits grow beyond the
+/// longest: discovery is overrun. Those that fail at once don't count here, as they cost it nothing.
 const PATIENT: i32 = 4;
 /// Further doublings of that, at the most.
 const DOUBLINGS: i32 = 8;
@@ -67,20 +67,27 @@
         actions: &mut Vec<Action>,
     ) {
         let (failed, told) = (scope == ListScope::Failed, cfg.rules.told);
-        self.failures = if failed { self.failures + 1 } else { 0 };
+        let took = (now - self.at).max(0.0);
+        let late = failed && took > SOON * told;
+        self.failures = match (failed, late) {
+            (true, true) => self.failures + 1,
+            (true, false) => (self.failures + 1).min(PATIENT),
+            (false, _) => 0,
+        };
         self.stale =
             cfg.discovery == Discovery::Ask && matches!(scope, ListScope::Cached | ListScope::Failed);
         if !self.stale {
             return;
         }
-        let late = failed && now - self.at > SOON * told;
         let part = if late { LATER } else { [FIRST, SOON][usize::from(failed)] };
         let mut most = (cfg.rules.ask_within / 4.0 * f64::from(1 << self.failures.min(3))).min(part * told);
         let mut least = 0.0;
         let fleet = cfg.peers_total as f64 * APART;
         if failed && fleet > most {
             let doublings = (self.failures - PATIENT).clamp(0, DOUBLINGS);
-            most = fleet.min(LONGEST * told * f64::from(1 << doublings));
+            // Discovery may have come back while a call that was no call in turn was tried.
+            let longest = if late { LONGEST * told } else { LONGEST * told - took };
+            most = fleet.min(longest * f64::from(1 << doublings));
             // A broken watch is no sign yet that calls wait in turn.
             least = if self.failures > 1 { most / 2.0 } else { 0.0 };
         }
