Tests of starts and reloads in which a call fails for a moment, failing

The program ended, or aborted, where open of the configuration, socketpair, epoll_create1, eventfd, epoll_ctl, getsockname or pthread_create failed once or twice before it listened; a SIGHUP whose file could not be opened at once was heard by nobody.

--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -7,10 +7,12 @@
 const ID: &str = "Request-Id: {id}\r\n";
 
 const EINTR: i32 = 4;
+const EIO: i32 = 5;
 const EAGAIN: i32 = 11;
 const ENOMEM: i32 = 12;
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
+const ENOSPC: i32 = 28;
 const EADDRNOTAVAIL: i32 = 99;
 const ENETUNREACH: i32 = 101;
 const ECONNABORTED: i32 = 103;
@@ -128,6 +130,55 @@
     }
 }
 
+/// Nor does any other call that it makes before it listens end it, if that fails for a moment: not the first one of its
+/// kind, nor a later one.
+#[test]
+fn a_start_outlasts_every_call_that_fails_for_a_moment() {
+    let calls = [
+        ("open", ENFILE, 1),
+        ("open", EMFILE, 1),
+        ("socketpair", ENFILE, 3),
+        ("socketpair", ENOMEM, 3),
+        ("epoll_create1", EMFILE, 1),
+        ("eventfd", ENFILE, 1),
+        ("epoll_ctl", ENOMEM, 8),
+        ("epoll_ctl", ENOSPC, 8),
+        ("getsockname", ENOBUFS, 2),
+        ("setsockopt", ENOMEM, 4),
+        ("listen", ENOBUFS, 1),
+        ("pthread_create", EAGAIN, 1),
+        ("bind", ENOMEM, 1),
+    ];
+    for (call, error, last) in calls {
+        for first in 1..=last {
+            let upstream = Upstream::start(Reply::Ok);
+            let discovery = DiscoveryPeer::start();
+            let faults = format!("{call}:{error}:{first}:1:2");
+            let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", &faults)];
+            let config = config_of(&[upstream.address], discovery.address, 256);
+            let program = Program::start_with(&variables, &config, "127.0.0.1:0");
+            assert_eq!(program.client().ask("/read", ID, "").status(), 200, "{faults}");
+        }
+    }
+}
+
+/// A new configuration counts though it can't be read at once.
+#[test]
+fn a_new_configuration_is_read_though_its_file_can_not_be_opened_at_once() {
+    for error in [ENFILE, EMFILE, ENOMEM, EIO] {
+        let (upstream, old, new) =
+            (Upstream::start(Reply::Ok), DiscoveryPeer::start(), DiscoveryPeer::start());
+        let config = |discovery: &DiscoveryPeer| config_of(&[upstream.address], discovery.address, 256);
+        // The first one is read at the start.
+        let faults = format!("open:{error}:2:1:3");
+        let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", &faults)];
+        let program = Program::start_with(&variables, &config(&old), "127.0.0.1:0");
+        let _watch = old.next();
+        program.reload(&config(&new));
+        let _watch = new.next();
+    }
+}
+
 /// A call that is interrupted, or short of memory for a moment, is made again.
 #[test]
 fn interrupted_reads_and_writes_cut_no_request() {
--- a/tests/faults/faults.c
+++ b/tests/faults/faults.c
@@ -4,17 +4,22 @@
  * FAULTS       comma-separated `call:error:first:every:times`: of the calls of this name the one numbered `first`, and
  *              then each `every`-th, fail with the error number `error`, `times` times in all. A negative `error` delays
  *              the call by so many milliseconds in place of failing it. `write` counts for regular files only, `socket` and
- *              `connect` for IPv4 only.
+ *              `connect` for IPv4 only, `socket_unix` and `connect_unix` for local ones, `open` for the configuration and
+ *              what lies in $TMPDIR, `epoll_ctl` for what is added.
  * FAULTS_WALL  seconds by which the wall clock is ahead.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <poll.h>
+#include <pthread.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/uio.h>
@@ -78,9 +83,14 @@
         return real arguments;                              \
     }
 
-WRAP(int, socket, (int domain, int type, int protocol), (domain, type, protocol), domain == AF_INET)
 WRAP(int, accept4, (int fd, struct sockaddr *to, socklen_t *size, int flags), (fd, to, size, flags), 1)
-WRAP(int, connect, (int fd, const struct sockaddr *to, socklen_t size), (fd, to, size), to->sa_family == AF_INET)
+WRAP(int, socketpair, (int domain, int type, int protocol, int pair[2]), (domain, type, protocol, pair), 1)
+WRAP(int, listen, (int fd, int backlog), (fd, backlog), 1)
+WRAP(int, getsockname, (int fd, struct sockaddr *at, socklen_t *size), (fd, at, size), 1)
+WRAP(int, setsockopt, (int fd, int level, int name, const void *value, socklen_t size), (fd, level, name, value, size), 1)
+WRAP(int, epoll_create1, (int flags), (flags), 1)
+WRAP(int, eventfd, (unsigned int value, int flags), (value, flags), 1)
+WRAP(int, epoll_ctl, (int fd, int op, int on, struct epoll_event *event), (fd, op, on, event), op == EPOLL_CTL_ADD)
 WRAP(int, bind, (int fd, const struct sockaddr *to, socklen_t size), (fd, to, size), 1)
 WRAP(int, poll, (struct pollfd *fds, nfds_t number, int timeout), (fds, number, timeout), timeout == 0)
 WRAP(int, epoll_wait, (int fd, struct epoll_event *events, int most, int timeout), (fd, events, most, timeout), 1)
@@ -90,6 +100,49 @@
 WRAP(ssize_t, write, (int fd, const void *bytes, size_t size), (fd, bytes, size), is_file(fd))
 WRAP(int, rename, (const char *from, const char *to), (from, to), 1)
 
+int connect(int fd, const struct sockaddr *to, socklen_t size) {
+    static int (*real)(int, const struct sockaddr *, socklen_t);
+    if (!real)
+        real = (int (*)(int, const struct sockaddr *, socklen_t))dlsym(RTLD_NEXT, "connect");
+    if (fails(to->sa_family == AF_UNIX ? "connect_unix" : to->sa_family == AF_INET ? "connect" : ""))
+        return -1;
+    return real(fd, to, size);
+}
+
+int socket(int domain, int type, int protocol) {
+    static int (*real)(int, int, int);
+    if (!real)
+        real = (int (*)(int, int, int))dlsym(RTLD_NEXT, "socket");
+    if (fails(domain == AF_UNIX ? "socket_unix" : domain == AF_INET ? "socket" : ""))
+        return -1;
+    return real(domain, type, protocol);
+}
+
+int pthread_create(pthread_t *thread, const pthread_attr_t *with, void *(*run)(void *), void *value) {
+    static int (*real)(pthread_t *, const pthread_attr_t *, void *(*)(void *), void *);
+    if (!real)
+        real = (int (*)(pthread_t *, const pthread_attr_t *, void *(*)(void *), void *))dlsym(RTLD_NEXT, "pthread_create");
+    return fails("pthread_create") ? errno : real(thread, with, run, value);
+}
+
+static int is_ours(const char *path) {
+    const char *config = getenv("PROXY_CONFIG"), *folder = getenv("TMPDIR");
+    return (config && strcmp(path, config) == 0) || (folder && strncmp(path, folder, strlen(folder)) == 0);
+}
+
+int open64(const char *path, int flags, ...) {
+    static int (*real)(const char *, int, ...);
+    if (!real)
+        real = (int (*)(const char *, int, ...))dlsym(RTLD_NEXT, "open64");
+    va_list rest;
+    va_start(rest, flags);
+    mode_t mode = flags & O_CREAT ? va_arg(rest, mode_t) : 0;
+    va_end(rest);
+    if (is_ours(path) && fails("open"))
+        return -1;
+    return real(path, flags, mode);
+}
+
 int clock_gettime(clockid_t clock, struct timespec *now) {
     static int (*real)(clockid_t, struct timespec *);
     if (!real)
