Wait out calls of a start that fail for a moment

Cause: before it listens the program made each call once: open of the configuration, socketpair and epoll_ctl for signals, epoll_create1, eventfd and epoll_ctl for the runtime, getsockname; each passing error ended it. thread::spawn of the log (src/bin/magpiechute/log.rs) panics where the system gives no thread, which is an abort. ENOSPC of epoll_ctl was taken for no shortage.

--- a/src/bin/magpiechute/config.rs
+++ b/src/bin/magpiechute/config.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::List;
 use crate::log;
+use crate::system_errors::outlasting;
 use ryequay::wire::{self, BadSetting};
 use ryequay::{Settings, SettingsError};
 use serde::Deserialize;
@@ -109,7 +110,10 @@
 
     fn read(again: bool) -> Result<Self, ConfigError> {
         let path = env::var("PROXY_CONFIG").map_err(|e| ConfigError::Variable("PROXY_CONFIG", e))?;
-        let text = std::fs::read(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+        // While it serves, the process doesn't sleep: whoever asks it to read this again tries later.
+        let read = || std::fs::read(&path);
+        let text = if again { read() } else { outlasting(read) };
+        let text = text.map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
         let file = serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(path, e))?;
         Self::from_file(file, again, |name| env::var(name).ok())
     }
--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -27,6 +27,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use system_errors::outlasting;
 use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::task::{spawn_local, LocalSet};
@@ -57,9 +58,9 @@
         report(panic);
         std::process::abort();
     }));
-    let result = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
+    // Without a thread for the log its lines are lost, and nothing else.
+    let _ = outlasting(log::start);
+    let result = outlasting(|| runtime::Builder::new_current_thread().enable_all().build())
         .map_err(Into::into)
         .and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
     match result {
@@ -93,7 +94,8 @@
     let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
     let upgrade = Upgrade::new(folder, address, driver.clone(), server.clone(), budget.clone(), sockets);
     if let Some(listener) = admin {
-        log::line(format!("{name} takes operators' calls at {}", listener.local_addr()?));
+        let address = outlasting(|| listener.local_addr())?;
+        log::line(format!("{name} takes operators' calls at {address}"));
         spawn_local(Admin::new(driver.clone(), server.clone(), upgrade.clone(), budget).accept(listener));
     }
     let pool = driver.borrow().pool().clone();
@@ -125,7 +127,7 @@
     }
     let listener =
         server::listen(address, true).await.map_err(|error| format!("listen on {address}: {error}"))?;
-    let address = listener.local_addr()?;
+    let address = outlasting(|| listener.local_addr())?;
     server.open();
     upgrade.settle(address);
     log::line(format!("{name} listens on {address}"));
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -6,7 +6,7 @@
 use crate::raw_head::RawHead;
 use crate::socket::{Budget, Purpose, Socket};
 use crate::stats::{Ending, Stats};
-use crate::system_errors::{is_over, is_own_limit, is_shortage};
+use crate::system_errors::{is_over, is_own_limit, is_shortage, START_AGAIN, START_PATIENCE};
 use crate::upstream::{end_to_end, Content, Forward};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -60,10 +60,6 @@
 const LONGEST_ID: usize = 128;
 /// Whether a client that has left has a request that waits is looked up this often.
 const LOOK: Duration = Duration::from_millis(50);
-/// A listener that can't be had for want of something is tried for again this much later,
-const LISTEN_AGAIN: Duration = Duration::from_millis(20);
-/// and for so long: a process is to be ready a few seconds after its start.
-const LISTEN_PATIENCE: Duration = Duration::from_secs(4);
 /// After a second accept in a row that failed for want of something the next try comes this much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 /// So many such failures are no passing shortage: descriptors have to be given back.
@@ -268,10 +264,10 @@
 /// Listens; an address that a killed predecessor held can be taken at once, and one that is `shared` beside a process
 /// that shares it as well. A passing shortage of descriptors or memory is waited out.
 pub async fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
-    let until = Instant::now() + LISTEN_PATIENCE;
+    let until = Instant::now() + START_PATIENCE;
     loop {
         match try_listen(address, shared) {
-            Err(error) if is_shortage(&error) && Instant::now() < until => sleep(LISTEN_AGAIN).await,
+            Err(error) if is_shortage(&error) && Instant::now() < until => sleep(START_AGAIN).await,
             result => return result,
         }
     }
--- a/src/bin/magpiechute/signals.rs
+++ b/src/bin/magpiechute/signals.rs
@@ -4,6 +4,7 @@
 //! signal sets a flag, and a byte through a pair of sockets wakes whoever waits; where that byte is lost or can't be read,
 //! the flag is seen a little later.
 
+use crate::system_errors::outlasting;
 use signal_hook::{flag, low_level};
 use std::io;
 use std::os::unix::net::UnixStream as Pipe;
@@ -18,6 +19,13 @@
 /// A flag that nobody was woken for is seen after this time at the latest.
 const LOOK: Duration = Duration::from_millis(200);
 
+/// The end at which the process is woken, and the one for the handlers.
+fn wake_pair() -> io::Result<(UnixStream, Pipe)> {
+    let (ours, handlers) = Pipe::pair()?;
+    ours.set_nonblocking(true)?;
+    Ok((UnixStream::from_std(ours)?, handlers))
+}
+
 /// One kind of signal.
 pub struct Signal {
     came: Arc<AtomicBool>,
@@ -32,12 +40,11 @@
     /// Those of the system, where it lets the process have no sockets or no such handler.
     pub fn listen(kind: i32) -> io::Result<Self> {
         let came = Arc::default();
-        let (ours, handlers) = Pipe::pair()?;
-        ours.set_nonblocking(true)?;
+        let (wakes, handlers) = outlasting(wake_pair)?;
         // In this order: whoever is woken finds the flag set.
         flag::register(kind, Arc::clone(&came))?;
         low_level::pipe::register(kind, handlers)?;
-        Ok(Signal { came, wakes: UnixStream::from_std(ours)? })
+        Ok(Signal { came, wakes })
     }
 
     /// Waits for the next signal; several that came since the last one are one.
--- a/src/bin/magpiechute/system_errors.rs
+++ b/src/bin/magpiechute/system_errors.rs
@@ -2,10 +2,17 @@
 
 use nix::libc;
 use std::io;
+use std::thread;
+use std::time::{Duration, Instant};
 
-/// True for an error of the system that says that this process or machine is short of descriptors, buffers or memory.
+/// A passing shortage is waited out for this long at a start, and the call made again this often.
+pub const START_PATIENCE: Duration = Duration::from_secs(4);
+pub const START_AGAIN: Duration = Duration::from_millis(20);
+
+/// True for an error of the system that says that this process or machine is short of descriptors, buffers, memory, or
+/// places to watch descriptors (ENOSPC of epoll_ctl(2)).
 pub fn is_shortage(error: &io::Error) -> bool {
-    const SHORTAGES: [i32; 4] = [libc::ENFILE, libc::EMFILE, libc::ENOBUFS, libc::ENOMEM];
+    const SHORTAGES: [i32; 5] = [libc::ENFILE, libc::EMFILE, libc::ENOBUFS, libc::ENOMEM, libc::ENOSPC];
     error.raw_os_error().is_some_and(|number| SHORTAGES.contains(&number))
 }
 
@@ -19,6 +26,23 @@
     }
 }
 
+/// True for an error that may be over a moment later, whatever was called.
+pub fn is_passing(error: &io::Error) -> bool {
+    const PASSING: [i32; 3] = [libc::EINTR, libc::EAGAIN, libc::EIO];
+    is_shortage(error) || error.raw_os_error().is_some_and(|number| PASSING.contains(&number))
+}
+
+/// Makes a call of a start again while it fails for a moment. The thread sleeps between: nobody is served yet.
+pub fn outlasting<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let until = Instant::now() + START_PATIENCE;
+    loop {
+        match call() {
+            Err(error) if is_passing(&error) && Instant::now() < until => thread::sleep(START_AGAIN),
+            result => return result,
+        }
+    }
+}
+
 /// True for an error of connect that says nothing of the other side: this machine lacks something for the moment, a
 /// local port or a route included, or the call was interrupted.
 pub fn is_local(error: &io::Error) -> bool {
