Test of connections that can't be watched at once, failing

epoll_ctl fails with ENOMEM or ENOSPC for connections of clients, once before and once beside SIGTERM.

--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -55,6 +55,28 @@
     }
 }
 
+/// A connection that has been taken is served though the runtime can't watch it at once, also if SIGTERM comes meanwhile.
+#[test]
+fn a_connection_that_can_not_be_watched_at_once_is_served() {
+    for error in [ENOMEM, ENOSPC] {
+        let upstream = Upstream::start(Reply::Ok);
+        // Every second connection, for some 0.2 s.
+        let faults = format!("epoll_ctl_accepted:{error}:1:1:20,epoll_ctl_accepted:{error}:25:1:20");
+        let (mut program, _discovery) = start(&faults, &[upstream.address], 256);
+        let mut client = program.client();
+        client.send("/pay", ID, "coins").unwrap();
+        assert_eq!(client.receive().unwrap().expect("an answer").status(), 200, "error {error}");
+        let mut clients: Vec<_> = (0..8).map(|_| program.client()).collect();
+        clients.iter_mut().for_each(|client| client.send("/pay", ID, "coins").unwrap());
+        program.terminate();
+        for client in &mut clients {
+            let status = client.receive().ok().flatten().map(|answer| answer.status());
+            assert_eq!(status, Some(200), "error {error}");
+        }
+        assert!(program.wait().success());
+    }
+}
+
 /// Whoever connected before the listener closed has an answer, though the last calls to accept fail.
 #[test]
 fn connections_that_wait_when_the_listener_closes_are_taken_though_accept_fails() {
--- a/tests/faults/faults.c
+++ b/tests/faults/faults.c
@@ -5,7 +5,8 @@
  *              then each `every`-th, fail with the error number `error`, `times` times in all. A negative `error` delays
  *              the call by so many milliseconds in place of failing it. `write` counts for regular files only, `socket` and
  *              `connect` for IPv4 only, `socket_unix` and `connect_unix` for local ones, `open` for the configuration and
- *              what lies in $TMPDIR, `epoll_ctl` for what is added.
+ *              what lies in $TMPDIR, `epoll_ctl` for what is added,
+ *              `epoll_ctl_accepted` for connections of clients that are.
  * FAULTS_WALL  seconds by which the wall clock is ahead.
  */
 #define _GNU_SOURCE
@@ -29,7 +30,7 @@
 enum { MOST_FAULTS = 16 };
 
 static struct fault {
-    char call[16];
+    char call[32];
     long error, first, every, times;
     long seen, done;
 } faults[MOST_FAULTS];
@@ -39,7 +40,7 @@
     const char *text = getenv("FAULTS");
     for (; text && *text && count < MOST_FAULTS; count++) {
         struct fault *f = &faults[count];
-        if (sscanf(text, "%15[^:]:%ld:%ld:%ld:%ld", f->call, &f->error, &f->first, &f->every, &f->times) != 5)
+        if (sscanf(text, "%31[^:]:%ld:%ld:%ld:%ld", f->call, &f->error, &f->first, &f->every, &f->times) != 5)
             abort();
         text = strchr(text, ',');
         text = text ? text + 1 : NULL;
@@ -83,14 +84,12 @@
         return real arguments;                              \
     }
 
-WRAP(int, accept4, (int fd, struct sockaddr *to, socklen_t *size, int flags), (fd, to, size, flags), 1)
 WRAP(int, socketpair, (int domain, int type, int protocol, int pair[2]), (domain, type, protocol, pair), 1)
 WRAP(int, listen, (int fd, int backlog), (fd, backlog), 1)
 WRAP(int, getsockname, (int fd, struct sockaddr *at, socklen_t *size), (fd, at, size), 1)
 WRAP(int, setsockopt, (int fd, int level, int name, const void *value, socklen_t size), (fd, level, name, value, size), 1)
 WRAP(int, epoll_create1, (int flags), (flags), 1)
 WRAP(int, eventfd, (unsigned int value, int flags), (value, flags), 1)
-WRAP(int, epoll_ctl, (int fd, int op, int on, struct epoll_event *event), (fd, op, on, event), op == EPOLL_CTL_ADD)
 WRAP(int, bind, (int fd, const struct sockaddr *to, socklen_t size), (fd, to, size), 1)
 WRAP(int, poll, (struct pollfd *fds, nfds_t number, int timeout), (fds, number, timeout), timeout == 0)
 WRAP(int, epoll_wait, (int fd, struct epoll_event *events, int most, int timeout), (fd, events, most, timeout), 1)
@@ -125,6 +124,43 @@
     return fails("pthread_create") ? errno : real(thread, with, run, value);
 }
 
+/* The sockets accepted last, known by their inodes, as a duplicate has the same. */
+static ino_t accepted[256];
+static unsigned accepted_count;
+
+static ino_t inode(int fd) {
+    struct stat about;
+    return fstat(fd, &about) == 0 ? about.st_ino : 0;
+}
+
+int accept4(int fd, struct sockaddr *to, socklen_t *size, int flags) {
+    static int (*real)(int, struct sockaddr *, socklen_t *, int);
+    if (!real)
+        real = (int (*)(int, struct sockaddr *, socklen_t *, int))dlsym(RTLD_NEXT, "accept4");
+    if (fails("accept4"))
+        return -1;
+    int stream = real(fd, to, size, flags);
+    if (stream >= 0)
+        accepted[accepted_count++ % 256] = inode(stream);
+    return stream;
+}
+
+static int is_accepted(int fd) {
+    for (int i = 0; i < 256; i++)
+        if (accepted[i] && accepted[i] == inode(fd))
+            return 1;
+    return 0;
+}
+
+int epoll_ctl(int fd, int op, int on, struct epoll_event *event) {
+    static int (*real)(int, int, int, struct epoll_event *);
+    if (!real)
+        real = (int (*)(int, int, int, struct epoll_event *))dlsym(RTLD_NEXT, "epoll_ctl");
+    if (op == EPOLL_CTL_ADD && (fails("epoll_ctl") || (is_accepted(on) && fails("epoll_ctl_accepted"))))
+        return -1;
+    return real(fd, op, on, event);
+}
+
 static int is_ours(const char *path) {
     const char *config = getenv("PROXY_CONFIG"), *folder = getenv("TMPDIR");
     return (config && strcmp(path, config) == 0) || (folder && strncmp(path, folder, strlen(folder)) == 0);
