Keep a connection that has been taken until it can be watched

Cause: the runtime's accept registers each connection with epoll_ctl within the call and closes it where that fails (ENOMEM, ENOSPC), with what its client had sent; Server::close did the same by from_std. A second one beside it: the accept loop was dropped at SIGTERM wherever it stood, also between taking a connection and serving it. Change: listener.rs: taking a connection and registering it are two steps, the second is made again for 0.4 s on a second descriptor of it; Server::accept ends between two connections only. Road not taken: AsyncFd, whose registering is deprecated or unsafe. Result: a_connection_that_can_not_be_watched_at_once_is_served and a_start_outlasts_every_call_that_fails_for_a_moment pass; without the change both end in a reset.

--- a/src/bin/magpiechute/admin.rs
+++ b/src/bin/magpiechute/admin.rs
@@ -1,6 +1,7 @@
 //! The admin endpoint: health, figures, and what operators say about upstreams and clients. One call a connection.
 
 use crate::driver::Driver;
+use crate::listener::{Accepted, Listener};
 use crate::log;
 use crate::server::Server;
 use crate::socket::{Budget, Purpose, Socket};
@@ -18,7 +19,6 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout};
@@ -82,10 +82,10 @@
     }
 
     /// Takes connections until dropped.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub async fn accept(self: Rc<Self>, listener: Listener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.admit(stream).await,
+                Ok(accepted) => self.admit(accepted).await,
                 Err(error) => {
                     log::line(format!("console: accept: {error}"));
                     sleep(ACCEPT_AGAIN).await;
@@ -94,7 +94,11 @@
         }
     }
 
-    async fn admit(self: &Rc<Self>, stream: TcpStream) {
+    async fn admit(self: &Rc<Self>, accepted: Accepted) {
+        let stream = match accepted.register().await {
+            Ok(stream) => stream,
+            Err(error) => return log::line(format!("console: a connection can't be served: {error}")),
+        };
         let mut permit = self.budget.take(Purpose::Admin);
         if permit.is_none() {
             // Guards against callers that say nothing and keep out the one that asks.
--- /dev/null
+++ b/src/bin/magpiechute/listener.rs
@@ -0,0 +1,109 @@
+//! A listening socket whose connections outlast a passing failure of the calls that make them ready for use.
+
+use crate::system_errors::{is_passing, is_shortage, START_AGAIN, START_PATIENCE};
+use socket2::SockRef;
+use std::io;
+use std::net::{self, SocketAddr};
+use std::os::fd::OwnedFd;
+use std::time::Duration;
+use tokio::io::Interest;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::{sleep, Instant};
+
+/// Connections that the kernel takes for us while the loop is busy.
+const BACKLOG: u32 = 4096;
+/// A connection that can't be watched for events is tried again this much later,
+const REGISTER_AGAIN: Duration = Duration::from_millis(10);
+/// and so often: the others behind it wait for no longer than 0.4 s.
+const REGISTER_TRIES: usize = 40;
+
+/// A listening socket. The runtime's own type for it would register each connection within accept, and close those for
+/// which that fails; this one only has its readiness watched, in the type that allows that.
+pub struct Listener(TcpStream);
+
+impl Listener {
+    /// Listens; an address that a killed predecessor held can be taken at once, and one that is `shared` beside a process
+    /// that shares it as well. A passing shortage of descriptors or memory is waited out.
+    ///
+    /// # Errors
+    ///
+    /// Those of the system: the address is taken or not of this machine, or the shortage lasts.
+    pub async fn bind(address: SocketAddr, shared: bool) -> io::Result<Self> {
+        let until = Instant::now() + START_PATIENCE;
+        loop {
+            match Self::try_bind(address, shared) {
+                Err(error) if is_shortage(&error) && Instant::now() < until => sleep(START_AGAIN).await,
+                result => return result,
+            }
+        }
+    }
+
+    fn try_bind(address: SocketAddr, shared: bool) -> io::Result<Self> {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.set_reuseport(shared)?;
+        socket.bind(address)?;
+        let listener = OwnedFd::from(socket.listen(BACKLOG)?.into_std()?);
+        Ok(Listener(TcpStream::from_std(listener.into())?))
+    }
+
+    /// Where it listens.
+    ///
+    /// # Errors
+    ///
+    /// Those of getsockname(2).
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+
+    /// The next connection, once there is one; dropped before that, it has taken none.
+    ///
+    /// # Errors
+    ///
+    /// Those of accept(2).
+    pub async fn accept(&self) -> io::Result<Accepted> {
+        loop {
+            self.0.readable().await?;
+            match self.0.try_io(Interest::READABLE, || self.accept_now()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return result,
+            }
+        }
+    }
+
+    /// The next connection if the kernel holds one now, asked of the kernel: the event loop may know less.
+    ///
+    /// # Errors
+    ///
+    /// As above; `WouldBlock` if there is none.
+    pub fn accept_now(&self) -> io::Result<Accepted> {
+        let (stream, _) = SockRef::from(&self.0).accept()?;
+        Ok(Accepted(stream.into()))
+    }
+}
+
+/// A connection that has been taken, and can't be waited on yet.
+pub struct Accepted(net::TcpStream);
+
+impl Accepted {
+    /// Has the runtime watch it. Guards against a connection that is closed, as the runtime does, because the call for
+    /// that fails for a moment: a second descriptor keeps it, if there is room for one.
+    ///
+    /// # Errors
+    ///
+    /// Those of epoll_ctl(2), if it goes on failing.
+    pub async fn register(self) -> io::Result<TcpStream> {
+        let mut stream = self.0;
+        stream.set_nonblocking(true)?;
+        let mut tries = 0;
+        loop {
+            let spare = stream.try_clone();
+            match (TcpStream::from_std(stream), spare) {
+                (Err(error), Ok(spare)) if is_passing(&error) && tries < REGISTER_TRIES => stream = spare,
+                (result, _) => return result,
+            }
+            tries += 1;
+            sleep(REGISTER_AGAIN).await;
+        }
+    }
+}
--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod listener;
 mod log;
 mod raw_head;
 mod server;
@@ -18,6 +19,7 @@
 use admin::Admin;
 use config::Config;
 use driver::Driver;
+use listener::Listener;
 use server::Server;
 use signals::{Signal, SIGHUP, SIGINT, SIGTERM};
 use socket::Budget;
@@ -28,7 +30,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use system_errors::outlasting;
-use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -82,7 +83,7 @@
     let budget = Budget::new(sockets, config.console.is_some());
     let admin = match config.console {
         Some(address) => Some(
-            server::listen(address, false)
+            Listener::bind(address, false)
                 .await
                 .map_err(|error| format!("listen on {address} for operators: {error}"))?,
         ),
@@ -126,16 +127,18 @@
         () = interrupt.received() => return Ok(()),
     }
     let listener =
-        server::listen(address, true).await.map_err(|error| format!("listen on {address}: {error}"))?;
+        Listener::bind(address, true).await.map_err(|error| format!("listen on {address}: {error}"))?;
     let address = outlasting(|| listener.local_addr())?;
     server.open();
     upgrade.settle(address);
     log::line(format!("{name} listens on {address}"));
-    tokio::select! {
-        () = server.accept(&listener) => {}
-        () = terminate.received() => {}
-        () = interrupt.received() => {}
-    }
+    let ended = async {
+        tokio::select! {
+            () = terminate.received() => {}
+            () = interrupt.received() => {}
+        }
+    };
+    server.accept(&listener, ended).await;
     log::line(format!("{name} drains"));
     let longest = Duration::try_from_secs_f64(longest).unwrap_or_default();
     drain(&server, listener, upgrade.replaced(), longest).await;
@@ -165,13 +168,12 @@
 
 /// Goes on accepting for a while, unless a new process takes the clients' connections, then until the kernel holds no
 /// more, and closes the listener.
-async fn drain(server: &Rc<Server>, listener: TcpListener, replaced: bool, longest: Duration) {
+async fn drain(server: &Rc<Server>, listener: Listener, replaced: bool, longest: Duration) {
     let settled = Instant::now() + last_moment(longest);
     server.drain(settled);
     let still_accept = still_accept(longest);
     if !replaced {
-        // The end of the time is what is waited for.
-        let _ = timeout(still_accept, server.accept(&listener)).await;
+        server.accept(&listener, sleep(still_accept)).await;
     }
     if let Err(error) = server.close(listener, settled).await {
         log::line(format!("close: {error}"));
--- a/src/bin/magpiechute/server.rs
+++ b/src/bin/magpiechute/server.rs
@@ -2,11 +2,12 @@
 
 use crate::bodies::{Broken, Memory, Reply, Upload, CLIENT_STALL};
 use crate::driver::{Driver, Final, Taken, Untaken};
+use crate::listener::{Accepted, Listener};
 use crate::log;
 use crate::raw_head::RawHead;
 use crate::socket::{Budget, Purpose, Socket};
 use crate::stats::{Ending, Stats};
-use crate::system_errors::{is_over, is_own_limit, is_shortage, START_AGAIN, START_PATIENCE};
+use crate::system_errors::{is_over, is_own_limit};
 use crate::upstream::{end_to_end, Content, Forward};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -18,18 +19,16 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// Connections that the kernel takes for us while the loop is busy.
-const BACKLOG: u32 = 4096;
 /// A client has this long from its connection to the end of its first request, or of the head of a longer one, and from
 /// the first byte of a further request to the end of that.
 pub const FIRST_REQUEST: Duration = Duration::from_millis(2500);
@@ -261,26 +260,6 @@
     memory: Rc<Memory>,
 }
 
-/// Listens; an address that a killed predecessor held can be taken at once, and one that is `shared` beside a process
-/// that shares it as well. A passing shortage of descriptors or memory is waited out.
-pub async fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
-    let until = Instant::now() + START_PATIENCE;
-    loop {
-        match try_listen(address, shared) {
-            Err(error) if is_shortage(&error) && Instant::now() < until => sleep(START_AGAIN).await,
-            result => return result,
-        }
-    }
-}
-
-fn try_listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.set_reuseport(shared)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 impl Server {
     pub fn new(driver: Rc<RefCell<Driver>>, budget: Rc<Budget>) -> Rc<Self> {
         let (stats, memory) = (driver.borrow().stats().clone(), driver.borrow().memory());
@@ -301,14 +280,21 @@
         })
     }
 
-    /// Takes connections until dropped.
-    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+    /// Takes connections until that is over. Guards against one that has been taken, and is dropped as the end comes just
+    /// then.
+    pub async fn accept(self: &Rc<Self>, listener: &Listener, over: impl Future<Output = ()>) {
+        let mut over = pin!(over);
         let mut shortage = Shortage::default();
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            let accepted = tokio::select! {
+                biased;
+                () = &mut over => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok(accepted) => {
                     shortage.passes();
-                    self.admit(stream).await;
+                    self.admit(accepted).await;
                 }
                 Err(error) => self.wait_out(&mut shortage, &error).await,
             }
@@ -381,20 +367,14 @@
     }
 
     /// Takes all connections that the kernel has taken for this listener, and closes it; not later than `until`.
-    /// Those that are still in its queue when it closes are reset. What is there is asked of the kernel, as the event
-    /// loop may know less.
-    pub async fn close(self: &Rc<Self>, listener: TcpListener, until: Instant) -> io::Result<()> {
-        let listener = listener.into_std()?;
+    /// Those that are still in its queue when it closes are reset.
+    pub async fn close(self: &Rc<Self>, listener: Listener, until: Instant) -> io::Result<()> {
         let mut shortage = Shortage::default();
         loop {
-            match listener.accept() {
-                Ok((stream, _)) => {
+            match listener.accept_now() {
+                Ok(accepted) => {
                     shortage.passes();
-                    let registered = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                    match registered {
-                        Ok(stream) => self.admit(stream).await,
-                        Err(error) => log::line(format!("a connection can't be served: {error}")),
-                    }
+                    self.admit(accepted).await;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if Instant::now() >= until => return Err(error),
@@ -419,7 +399,11 @@
         self.clients.borrow().len()
     }
 
-    async fn admit(self: &Rc<Self>, stream: TcpStream) {
+    async fn admit(self: &Rc<Self>, accepted: Accepted) {
+        let stream = match accepted.register().await {
+            Ok(stream) => stream,
+            Err(error) => return log::line(format!("a connection can't be served: {error}")),
+        };
         // Guards against silent connections that keep all others waiting behind them: whoever comes is taken or
         // turned away at once.
         let mut permit = self.budget.take(Purpose::Client);
