Try a new configuration that can't be opened again for 2 s

Cause: reload (src/bin/magpiechute/main.rs) opened the file once; with ENFILE, EMFILE, ENOMEM or EIO just then the signal was lost for good, and discovery, which has moved, was asked at its old address. One that can be read and is bad changes nothing, as before. Result: a_new_configuration_is_read_though_its_file_can_not_be_opened_at_once passes; without the change no watch came at the new address.

--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -17,7 +17,7 @@
 mod upstream;
 
 use admin::Admin;
-use config::Config;
+use config::{Config, ConfigError};
 use driver::Driver;
 use listener::Listener;
 use server::Server;
@@ -47,6 +47,9 @@
 const LAST_REQUEST: Duration = Duration::from_millis(100);
 /// What has been taken by then is settled within the longest deadline, and this much more.
 const SETTLE: Duration = Duration::from_secs(1);
+/// A new configuration that can't be opened is tried again for this long, this often: discovery may have moved.
+const READ_PATIENCE: Duration = Duration::from_secs(2);
+const READ_AGAIN: Duration = Duration::from_millis(50);
 /// Whether the first list has come is looked up this often.
 const LOOK: Duration = Duration::from_millis(10);
 /// Idle connections are looked through this often.
@@ -110,7 +113,7 @@
     spawn_local(async move {
         loop {
             hangup.received().await;
-            reload(&reloaded);
+            reload(&reloaded).await;
         }
     });
     let ready = async {
@@ -154,10 +157,16 @@
     Ok(())
 }
 
-/// Reads the configuration again, all of it; one that is bad changes nothing. What the balancer can take over
-/// while it runs is the address of discovery.
-fn reload(driver: &RefCell<Driver>) {
-    match Config::reload() {
+/// Reads the configuration again, all of it; one that is bad changes nothing, and one that can't be opened is tried again
+/// for a while. What the balancer can take over while it runs is the address of discovery.
+async fn reload(driver: &RefCell<Driver>) {
+    let until = Instant::now() + READ_PATIENCE;
+    let mut read = Config::reload();
+    while matches!(read, Err(ConfigError::Unreadable(..))) && Instant::now() < until {
+        sleep(READ_AGAIN).await;
+        read = Config::reload();
+    }
+    match read {
         Ok(config) => {
             log::line(format!("{} has read its configuration again", config.name));
             driver.borrow_mut().move_discovery(config.discovery);
