Tests of upgrades in which a call fails for a moment, failing

A new process that could not open the state or reach the old one's socket at once used an upstream that operators had left out; one interrupted recv or send between the two processes ended what they say to each other.

--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -302,6 +302,47 @@
     assert!(old.descriptors() + new.descriptors() <= 256);
 }
 
+/// Guards against a new process that takes itself for the only one, and does not hear what operators have said, because a
+/// call that it makes for that fails for a moment: EIO, EAGAIN, ENOMEM, ENFILE.
+#[test]
+fn a_new_process_knows_of_the_old_one_though_its_calls_fail_for_a_moment() {
+    for faults in [
+        "open:5:2:1:3",
+        "open:23:2:1:3",
+        "connect_unix:11:1:1:3",
+        "connect_unix:12:1:1:3",
+        "socket_unix:23:1:1:3",
+    ] {
+        let rig = Rig::new();
+        let old = rig.start("127.0.0.1:0");
+        assert_eq!(old.call("POST /upstreams/u0/maint").0, 200);
+        let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", faults)];
+        let new = rig.start_with(&variables, &old.address.to_string());
+        assert_eq!(new.figure("upstreams_excluded"), 1, "{faults}");
+        assert_eq!(old.call("POST /upstreams/u0/ready").0, 200);
+        until("it is heard of", || new.figure("upstreams_excluded") == 0);
+    }
+}
+
+/// Guards against two processes of an upgrade that lose each other over a call that is interrupted or short of memory.
+#[test]
+fn what_operators_say_goes_on_between_processes_though_their_calls_are_interrupted() {
+    for (call, error) in ["recv", "send"].iter().flat_map(|call| [4, 105, 12].map(|error| (*call, error))) {
+        let rig = Rig::new();
+        let faults = format!("{call}:{error}:1:2:1000000");
+        let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", faults.as_str())];
+        let old = rig.start_with(&variables, "127.0.0.1:0");
+        let new = rig.start_with(&variables, &old.address.to_string());
+        for round in 0..10 {
+            let (teller, hearer) = if round % 2 == 0 { (&old, &new) } else { (&new, &old) };
+            assert_eq!(teller.call("POST /upstreams/u0/maint").0, 200, "{faults}");
+            until("it is out", || hearer.figure("upstreams_excluded") == 1);
+            assert_eq!(hearer.call("POST /upstreams/u0/ready").0, 200, "{faults}");
+            until("it is back", || teller.figure("upstreams_excluded") == 0);
+        }
+    }
+}
+
 /// Guards against clients that are lost because the new process is told to end before it is ready.
 #[test]
 fn sigterm_to_a_new_process_that_is_not_ready_leaves_the_old_one_serving() {
