Look again for the old process and its state where a call fails for a moment

Cause: a new process opened the state once and connected to the old one once (Upgrade::succeed, State::read). After EIO or ENFILE it knew nothing of what operators had left out; after EAGAIN, ENOMEM or ENFILE it took itself for the only one. Read beside it: maintenance said while the file could not be read wrote over what the other process had been told. Change: both are tried again for 1 s; maintenance is owed a no, as where it can't be kept, and changes nothing. The state has a file of its own, state_file.rs, and typed errors.

--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -11,6 +11,7 @@
 mod server;
 mod signals;
 mod socket;
+mod state_file;
 mod stats;
 mod system_errors;
 mod upgrade;
--- a/src/bin/magpiechute/upgrade.rs
+++ b/src/bin/magpiechute/upgrade.rs
@@ -6,22 +6,22 @@
 use crate::log;
 use crate::server::Server;
 use crate::socket::Budget;
-use ryequay::Knowledge;
+use crate::state_file::{State, StateError};
+use crate::system_errors::is_passing;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::OwnedReadHalf;
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// The old process has made room by then, or is taken to hold its half.
 const ROOM: Duration = Duration::from_millis(500);
@@ -32,21 +32,10 @@
 /// and a socket, which some folders never take, this much later.
 const SOCKET_AGAIN: Duration = Duration::from_millis(500);
 
-/// What outlasts a process.
-#[derive(Debug, Serialize, Deserialize)]
-struct State {
-    /// Whose it is: the address where clients connect.
-    balancer: String,
-    /// Upstreams that the operators have left out.
-    out: BTreeSet<String>,
-    /// What the module has learned.
-    #[serde(default)]
-    knowledge: Knowledge,
-    /// How long ago it was written, where it was read. The file's own time tells: the wall clocks that two processes
-    /// read at their starts may differ.
-    #[serde(skip)]
-    age: Option<Duration>,
-}
+/// A state that can't be read, or an old process that can't be reached, for a moment is tried again this often,
+const MEET_AGAIN: Duration = Duration::from_millis(20);
+/// and for so long.
+const MEET_PATIENCE: Duration = Duration::from_secs(1);
 
 /// What one process tells the other, a line each.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -106,8 +95,12 @@
     /// Does what the operators say of an upstream, writes it down and tells the other process; false if none of this
     /// name is known.
     pub fn maintain(self: &Rc<Self>, name: &str, out: bool) -> io::Result<bool> {
-        // The other process, or the one before, may have been told something that this one has not heard of yet.
-        self.adopt();
+        // The other process, or the one before, may have been told something that this one has not heard of yet. Guards
+        // against writing over what can't be read just now.
+        match self.adopt() {
+            Some(Err(error)) if error.is_passing() => return Err(io::Error::other(error)),
+            _ => {}
+        }
         let known = self.driver.borrow_mut().maintain(name, out);
         if known {
             self.keep()?;
@@ -148,7 +141,7 @@
 
     /// Does what the operators have said to the other process, or to the one before, as far as that is written down and
     /// nothing newer is still to be written here.
-    fn adopt(&self) -> Option<Result<State, String>> {
+    fn adopt(&self) -> Option<Result<State, StateError>> {
         let path = self.path("state").filter(|_| !self.unsaved.get())?;
         let state = State::read(&path, self.address.get());
         if let Ok(state) = &state {
@@ -157,17 +150,40 @@
         Some(state)
     }
 
+    /// The same, again for a while where the file can't be read just now.
+    async fn adopt_in_time(&self) -> Option<Result<State, StateError>> {
+        let until = Instant::now() + MEET_PATIENCE;
+        loop {
+            match self.adopt()? {
+                Err(error) if error.is_passing() && Instant::now() < until => sleep(MEET_AGAIN).await,
+                adopted => return Some(adopted),
+            }
+        }
+    }
+
     /// The same where something has to be there.
-    fn restore(&self) -> Option<State> {
-        self.adopt()?.map_err(|why| log::line(format!("nothing is known of a process before: {why}"))).ok()
+    async fn restore(&self) -> Option<State> {
+        let adopted = self.adopt_in_time().await?;
+        adopted.map_err(|why| log::line(format!("nothing is known of a process before: {why}"))).ok()
+    }
+
+    /// The old process, if there is one; a call that fails for a moment is made again for a while.
+    async fn find_other(path: &Path) -> Option<UnixStream> {
+        let until = Instant::now() + MEET_PATIENCE;
+        loop {
+            match UnixStream::connect(path).await {
+                Ok(stream) => return Some(stream),
+                Err(error) if is_passing(&error) && Instant::now() < until => sleep(MEET_AGAIN).await,
+                Err(_) => return None,
+            }
+        }
     }
 
     /// Takes over what a process before has left. If it still runs, this one has the descriptors that it can spare,
     /// and is to listen only once it is ready.
     pub async fn succeed(self: &Rc<Self>) {
         let Some(path) = self.path("sock") else { return };
-        let old = UnixStream::connect(path).await;
-        if let Ok(old) = old {
+        if let Some(old) = Self::find_other(&path).await {
             log::line("another process runs beside this one".into());
             // Until it has said what it holds.
             self.budget.limit(self.sockets / 2);
@@ -179,7 +195,7 @@
             }
         }
         // Only now: what it knew when it heard of this process stands in the file, and what changes after that is told.
-        if let Some(State { knowledge, age: Some(age), .. }) = self.restore() {
+        if let Some(State { knowledge, age: Some(age), .. }) = self.restore().await {
             self.driver.borrow_mut().recall(age, knowledge);
         }
     }
@@ -265,7 +281,8 @@
         while let Ok(Some(line)) = lines.next_line().await {
             match serde_json::from_str(&line) {
                 Ok(Line::Hello) => {
-                    self.adopt();
+                    // A file that can't be read for so long is written anew.
+                    let _ = self.adopt_in_time().await;
                     // One that can't be written now is told of later.
                     let _ = self.keep();
                     let share = self.sockets / 2;
@@ -278,7 +295,7 @@
                     heard.notify_one();
                 }
                 Ok(Line::Ready) => self.replaced.set(true),
-                Ok(Line::State) => drop(self.restore()),
+                Ok(Line::State) => drop(self.restore().await),
                 Err(error) => return log::line(format!("the other process can't be understood: {error}")),
             }
         }
@@ -291,24 +308,3 @@
         }
     }
 }
-
-impl State {
-    /// Writes it aside and puts it in its place in one step.
-    fn write(&self, path: &Path) -> io::Result<()> {
-        let aside = path.with_extension("new");
-        std::fs::write(&aside, serde_json::to_vec(self)?)?;
-        std::fs::rename(aside, path)
-    }
-
-    fn read(path: &Path, address: SocketAddr) -> Result<Self, String> {
-        let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        let mut state: State =
-            serde_json::from_slice(&text).map_err(|error| format!("{}: {error}", path.display()))?;
-        let written = std::fs::metadata(path).and_then(|about| about.modified());
-        state.age = written.ok().and_then(|written| SystemTime::now().duration_since(written).ok());
-        match state.balancer == address.to_string() {
-            true => Ok(state),
-            false => Err(format!("{} is of the balancer at {}", path.display(), state.balancer)),
-        }
-    }
-}
