Let interrupted calls end nothing between two processes of an upgrade

Cause: the lines between the processes went over the runtime's own reads and writes, which pass EINTR, ENOBUFS and ENOMEM on: a line was lost, or each took the other for gone, with all descriptors for itself and deaf to maintenance said to the other. Change: steady.rs makes such calls again. Result: what_operators_say_goes_on_between_processes_though_their_calls_are_interrupted passes; without the change the other process never heard of the maintenance.

--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -13,6 +13,7 @@
 mod socket;
 mod state_file;
 mod stats;
+mod steady;
 mod system_errors;
 mod upgrade;
 mod upstream;
--- a/src/bin/magpiechute/upgrade.rs
+++ b/src/bin/magpiechute/upgrade.rs
@@ -7,6 +7,7 @@
 use crate::server::Server;
 use crate::socket::Budget;
 use crate::state_file::{State, StateError};
+use crate::steady::Steady;
 use crate::system_errors::is_passing;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -252,7 +253,8 @@
 
     /// Hears the other process to its end; `heard` is told once it has said what it holds.
     fn talk(self: &Rc<Self>, stream: UnixStream, heard: Rc<Notify>) {
-        let (input, mut output) = stream.into_split();
+        let (input, output) = stream.into_split();
+        let mut output = Steady(output);
         let (sender, mut lines) = unbounded_channel::<Line>();
         *self.other.borrow_mut() = Some(sender);
         spawn_local(async move {
@@ -277,7 +279,7 @@
     }
 
     async fn hear(self: &Rc<Self>, input: OwnedReadHalf, heard: &Notify) {
-        let mut lines = BufReader::new(input).lines();
+        let mut lines = BufReader::new(Steady(input)).lines();
         while let Ok(Some(line)) = lines.next_line().await {
             match serde_json::from_str(&line) {
                 Ok(Line::Hello) => {
