--- a/src/bin/magpiechute/upstream.rs
+++ b/src/bin/magpiechute/upstream.rs
@@ -495,3 +495,7 @@
         _ => Err(Outcome::Error),
     }
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/upstream.rs"]
+mod tests;
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -670,3 +670,22 @@
     assert_eq!(client.receive().unwrap().expect("an answer").status(), 200);
     assert_eq!(upstream.connections.load(std::sync::atomic::Ordering::SeqCst), 2);
 }
+
+/// Guards against news of a kind that is not known yet being taken for a yes.
+#[test]
+fn an_upstream_whose_status_is_unknown_gets_nothing() {
+    let (odd, good) = (Upstream::start(Reply::Ok), Upstream::start(Reply::Ok));
+    let discovery = DiscoveryPeer::start();
+    let known =
+        |status: &str| [endpoint("u0", odd.address, status), endpoint("u1", good.address, "in_service")];
+    let config = config(&list(5, true, &known("warming_up")), discovery.address, 256);
+    let program = Program::start(&config, "127.0.0.1:0");
+    let mut client = program.client();
+    (0..20).for_each(|_| assert_eq!(client.ask("/pay", "Request-Id: {id}\r\n", "coins").status(), 200));
+    assert!(odd.seen.try_recv().is_err());
+    discovery.next().line(&list(6, true, &known("in_service")));
+    until("it has calls once it is in service", || {
+        assert_eq!(client.ask("/pay", "Request-Id: {id}\r\n", "coins").status(), 200);
+        odd.seen.try_recv().is_ok()
+    });
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -6,6 +6,7 @@
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
+use std::sync::mpsc::{channel, Receiver};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -186,8 +187,9 @@
     until("nothing is left", || program.figure("in_flight") == 0);
 }
 
-/// What a program is told while it stands still: that the first upstream drains, at the end of a list of so many more.
-fn told_while_held(kept: bool, others: usize) {
+/// What a program is told while it stands still: that the first upstream drains, at the end of a list of so many more. It
+/// is held up so often again while it takes that in.
+fn told_while_held(kept: bool, others: usize, again: usize) {
     let (drains, stays) = (Upstream::start(Reply::Ok), Upstream::start(Reply::Ok));
     let (program, discovery) = Program::with_console(&[drains.address, stays.address]);
     let mut watch = discovery.next();
@@ -203,6 +205,10 @@
     list.push(("u0", drains.address, "terminating"));
     watch.line(&change(6, &list));
     program.go_on();
+    for _ in 0..again {
+        program.hold();
+        program.go_on();
+    }
     clients.iter_mut().for_each(|client| {
         assert_eq!(client.receive().unwrap().expect("an answer").status(), 200, "{kept}");
     });
@@ -213,11 +219,58 @@
 /// still meanwhile: on a kept connection and on a new one. Several rounds, as the order of what is read may be drawn.
 #[test]
 fn what_came_while_the_program_stood_still_is_not_sent_to_what_drains_since() {
-    (0..16).for_each(|round| told_while_held(round % 2 == 0, 0));
+    (0..16).for_each(|round| told_while_held(round % 2 == 0, 0, 0));
 }
 
 /// Guards against the same where the list is read in many pieces.
 #[test]
 fn what_came_while_the_program_stood_still_waits_for_the_whole_of_a_long_list() {
-    (0..4).for_each(|round| told_while_held(round % 2 == 0, 600));
+    (0..4).for_each(|round| told_while_held(round % 2 == 0, 600, 0));
+}
+
+/// Guards against the same where the program is held up again and again while it hears of it.
+#[test]
+fn what_came_while_the_program_stood_still_is_not_sent_there_after_more_hold_ups() {
+    (0..16).for_each(|round| told_while_held(round % 2 == 0, [0, 100][round % 4 / 2], 1 + round % 4));
+}
+
+/// Listens and says nothing; what `seen` makes of the moment in which the first byte of a connection has come.
+fn silent<T: Send + 'static>(seen: impl Fn() -> T + Send + 'static) -> (SocketAddr, Receiver<T>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, (sender, receiver)) = (listener.local_addr().unwrap(), channel());
+    std::thread::spawn(move || {
+        let mut kept = Vec::new();
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            // A connection that brings nothing is of no interest.
+            if stream.read(&mut [0]).is_ok_and(|count| count > 0) {
+                let _ = sender.send(seen());
+            }
+            kept.push(stream);
+        }
+    });
+    (address, receiver)
+}
+
+/// Guards against a second copy beside a first one that was given up, and whose connection is still open as the second
+/// begins, where no two may be out at a time.
+#[test]
+fn an_attempt_that_is_given_up_has_its_connection_closed_before_the_next_begins() {
+    for _ in 0..4 {
+        let sides: Vec<_> = (0..2).map(|_| silent(established)).collect();
+        let discovery = DiscoveryPeer::start();
+        let addresses: Vec<_> = sides.iter().map(|(address, _)| *address).collect();
+        let config = config_of(&addresses, discovery.address, 256)
+            .replace("\"mayDuplicate\":true", "\"mayDuplicate\":false")
+            .replace("\"aim\":5.0,\"hardLimit\":10.0", "\"aim\":0.5,\"hardLimit\":2.0");
+        let program = Program::start(&config, "127.0.0.1:0");
+        let mut client = program.client();
+        client.send("/read", ID, "").unwrap();
+        client.receive().unwrap().expect("an answer");
+        let ends = sides.iter().map(|(_, seen)| seen.try_iter().collect::<Vec<_>>()).collect::<Vec<_>>();
+        assert!(ends.iter().all(|ends| ends.len() == 1), "one attempt each");
+        let ports: Vec<_> = addresses.iter().map(SocketAddr::port).collect();
+        let both =
+            |ends: &Vec<(u16, u16)>| ports.iter().all(|port| ends.iter().any(|(here, _)| here == port));
+        assert!(!ends.iter().flatten().any(both), "both connections were open");
+    }
 }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -692,7 +692,7 @@
 }
 
 /// The ports, here and there, of all ends of connections that are up and to which no close or reset has come.
-fn established() -> Vec<(u16, u16)> {
+pub fn established() -> Vec<(u16, u16)> {
     ends().into_iter().filter(|end| end.state == "01").map(|end| (end.here, end.there)).collect()
 }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -134,14 +134,18 @@
 
 /// System calls that fail for a moment while the program runs, and by how much its wall clock is wrong.
 fn faults(rng: &mut Pcg64Mcg) -> (String, &'static str) {
-    const CALLS: [(&str, &[u32]); 7] = [
+    const CALLS: [(&str, &[u32]); 11] = [
         ("accept4", &[4, 24, 103, 105]),
         ("connect", &[4, 99, 101]),
         ("socket", &[23, 105]),
-        ("recv", &[4]),
-        ("writev", &[4]),
+        ("recv", &[4, 12, 105]),
+        ("send", &[4, 12, 105]),
+        ("writev", &[4, 12, 105]),
         ("poll", &[4]),
         ("epoll_wait", &[4]),
+        ("epoll_ctl", &[12, 28]),
+        ("epoll_ctl_accepted", &[12, 28]),
+        ("open", &[5, 23, 24]),
     ];
     let first = rng.random_range(0..CALLS.len());
     let mut fault = |number: usize| {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -343,6 +343,38 @@
     }
 }
 
+/// Guards against two processes that take themselves for alone because the connection on which they meet ends at once: the
+/// old one can't watch it (ENOMEM).
+#[test]
+fn a_new_process_meets_the_old_one_though_their_first_connection_ends_at_once() {
+    let rig = Rig::new();
+    let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", "epoll_ctl_accepted:12:1:1:1")];
+    let old = rig.start_with(&variables, "127.0.0.1:0");
+    until("the next one is awaited", || rig.state(old.address).with_extension("sock").exists());
+    let new = rig.start(&old.address.to_string());
+    assert_eq!(old.call("POST /upstreams/u0/maint").0, 200);
+    until("it is heard of", || new.figure("upstreams_excluded") == 1);
+}
+
+/// Guards against a state that is lost because SIGKILL came between its writing and its taking the old one's place.
+#[test]
+fn a_kill_before_a_state_takes_its_place_leaves_the_one_before() {
+    let rig = Rig::new();
+    // The first rename is that of the socket, the second keeps the first state; the third lasts for a minute.
+    let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", "rename:-60000:3:1:1")];
+    let mut old = rig.start_with(&variables, "127.0.0.1:0");
+    let (address, state) = (old.address, rig.state(old.address));
+    assert_eq!(old.call("POST /upstreams/u0/maint").0, 200);
+    let before = std::fs::read(&state).unwrap();
+    let mut operator = old.operator();
+    operator.write("POST /upstreams/u0/ready HTTP/1.1\r\nHost: console\r\n\r\n");
+    until("it is written aside", || state.with_extension("new").exists());
+    old.kill();
+    assert_eq!(std::fs::read(&state).unwrap(), before);
+    let new = rig.start(&address.to_string());
+    assert_eq!(new.figure("upstreams_excluded"), 1, "nobody had a yes to its return");
+}
+
 /// Guards against clients that are lost because the new process is told to end before it is ready.
 #[test]
 fn sigterm_to_a_new_process_that_is_not_ready_leaves_the_old_one_serving() {
