Look for the old process again where the first connection to it ends

Cause: Upgrade::succeed met the old process once; where that could not watch the connection (epoll_ctl: ENOMEM, ENOSPC), the runtime closed it, and each process took itself for alone, with all descriptors and deaf to maintenance said to the other. Change: three meetings; one that ends before the old process has said what it holds is followed by the next.

--- a/src/bin/magpiechute/upgrade.rs
+++ b/src/bin/magpiechute/upgrade.rs
@@ -26,6 +26,8 @@
 
 /// The old process has made room by then, or is taken to hold its half.
 const ROOM: Duration = Duration::from_millis(500);
+/// Connections to the old process that may end before it has said anything: it may be short of something for a moment.
+const MEETINGS: usize = 3;
 /// After a failed accept the next try comes this much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
 /// A state that the folder has not taken is written again this much later,
@@ -184,15 +186,10 @@
     /// and is to listen only once it is ready.
     pub async fn succeed(self: &Rc<Self>) {
         let Some(path) = self.path("sock") else { return };
-        if let Some(old) = Self::find_other(&path).await {
-            log::line("another process runs beside this one".into());
-            // Until it has said what it holds.
-            self.budget.limit(self.sockets / 2);
-            let heard = Rc::new(Notify::new());
-            self.talk(old, heard.clone());
-            self.tell(Line::Hello);
-            if timeout(ROOM, heard.notified()).await.is_err() {
-                log::line("the other process does not say what it holds".into());
+        for _ in 0..MEETINGS {
+            let Some(old) = Self::find_other(&path).await else { break };
+            if self.meet(old).await {
+                break;
             }
         }
         // Only now: what it knew when it heard of this process stands in the file, and what changes after that is told.
@@ -201,6 +198,21 @@
         }
     }
 
+    /// Tells the old process of this one; false if the connection ended before that said what it holds.
+    async fn meet(self: &Rc<Self>, old: UnixStream) -> bool {
+        log::line("another process runs beside this one".into());
+        // Until it has said what it holds.
+        self.budget.limit(self.sockets / 2);
+        let heard = Rc::new(Notify::new());
+        self.talk(old, heard.clone());
+        self.tell(Line::Hello);
+        if timeout(ROOM, heard.notified()).await.is_ok() {
+            return true;
+        }
+        log::line("the other process does not say what it holds".into());
+        self.is_beside()
+    }
+
     /// True while another process runs beside this one.
     pub fn is_beside(&self) -> bool {
         self.other.borrow().is_some()
