--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -60,7 +60,7 @@
 fn a_connection_that_can_not_be_watched_at_once_is_served() {
     for error in [ENOMEM, ENOSPC] {
         let upstream = Upstream::start(Reply::Ok);
-        // Every second connection, for some 0.2 s.
+        // The first connection, and then one of those beside SIGTERM, for some 0.2 s each.
         let faults = format!("epoll_ctl_accepted:{error}:1:1:20,epoll_ctl_accepted:{error}:25:1:20");
         let (mut program, _discovery) = start(&faults, &[upstream.address], 256);
         let mut client = program.client();
@@ -153,7 +153,7 @@
 }
 
 /// Nor does any other call that it makes before it listens end it, if that fails for a moment: not the first one of its
-/// kind, nor a later one.
+/// kind, nor a later one, nor each second one for as long as it runs.
 #[test]
 fn a_start_outlasts_every_call_that_fails_for_a_moment() {
     let calls = [
@@ -172,10 +172,11 @@
         ("bind", ENOMEM, 1),
     ];
     for (call, error, last) in calls {
-        for first in 1..=last {
+        let now_and_then = (1..=last).map(|first| format!("{call}:{error}:{first}:1:2"));
+        let each_second = (1..=2).map(|first| format!("{call}:{error}:{first}:2:{ALWAYS}"));
+        for faults in now_and_then.chain(each_second) {
             let upstream = Upstream::start(Reply::Ok);
             let discovery = DiscoveryPeer::start();
-            let faults = format!("{call}:{error}:{first}:1:2");
             let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", &faults)];
             let config = config_of(&[upstream.address], discovery.address, 256);
             let program = Program::start_with(&variables, &config, "127.0.0.1:0");
