--- a/src/bin/magpiechute/listener.rs
+++ b/src/bin/magpiechute/listener.rs
@@ -1,17 +1,16 @@
 //! A listening socket whose connections outlast a passing failure of the calls that make them ready for use.
 
-use crate::system_errors::{is_passing, is_shortage, START_AGAIN, START_PATIENCE};
-use socket2::SockRef;
+use crate::system_errors::{is_passing, outlasting};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io;
 use std::net::{self, SocketAddr};
-use std::os::fd::OwnedFd;
 use std::time::Duration;
 use tokio::io::Interest;
-use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::{sleep, Instant};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Connections that the kernel takes for us while the loop is busy.
-const BACKLOG: u32 = 4096;
+const BACKLOG: i32 = 4096;
 /// A connection that can't be watched for events is tried again this much later,
 const REGISTER_AGAIN: Duration = Duration::from_millis(10);
 /// and so often: the others behind it wait for no longer than 0.4 s.
@@ -23,28 +22,22 @@
 
 impl Listener {
     /// Listens; an address that a killed predecessor held can be taken at once, and one that is `shared` beside a process
-    /// that shares it as well. A passing shortage of descriptors or memory is waited out.
+    /// that shares it as well. A passing failure of each call is waited out by itself. Guards against two that fail in
+    /// turn.
     ///
     /// # Errors
     ///
-    /// Those of the system: the address is taken or not of this machine, or the shortage lasts.
-    pub async fn bind(address: SocketAddr, shared: bool) -> io::Result<Self> {
-        let until = Instant::now() + START_PATIENCE;
-        loop {
-            match Self::try_bind(address, shared) {
-                Err(error) if is_shortage(&error) && Instant::now() < until => sleep(START_AGAIN).await,
-                result => return result,
-            }
-        }
-    }
-
-    fn try_bind(address: SocketAddr, shared: bool) -> io::Result<Self> {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.set_reuseport(shared)?;
-        socket.bind(address)?;
-        let listener = OwnedFd::from(socket.listen(BACKLOG)?.into_std()?);
-        Ok(Listener(TcpStream::from_std(listener.into())?))
+    /// Those of the system: the address is taken or not of this machine, or the failure lasts.
+    pub fn bind(address: SocketAddr, shared: bool) -> io::Result<Self> {
+        let domain = Domain::for_address(address);
+        let socket = outlasting(|| Socket::new(domain, Type::STREAM, Some(Protocol::TCP)))?;
+        outlasting(|| socket.set_nonblocking(true))?;
+        outlasting(|| socket.set_reuse_address(true))?;
+        outlasting(|| socket.set_reuse_port(shared))?;
+        outlasting(|| socket.bind(&address.into()))?;
+        outlasting(|| socket.listen(BACKLOG))?;
+        let watched = outlasting(|| TcpStream::from_std(socket.try_clone()?.into()))?;
+        Ok(Listener(watched))
     }
 
     /// Where it listens.
--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -89,7 +89,6 @@
     let admin = match config.console {
         Some(address) => Some(
             Listener::bind(address, false)
-                .await
                 .map_err(|error| format!("listen on {address} for operators: {error}"))?,
         ),
         None => None,
@@ -131,8 +130,7 @@
         () = terminate.received() => return Ok(()),
         () = interrupt.received() => return Ok(()),
     }
-    let listener =
-        Listener::bind(address, true).await.map_err(|error| format!("listen on {address}: {error}"))?;
+    let listener = Listener::bind(address, true).map_err(|error| format!("listen on {address}: {error}"))?;
     let address = outlasting(|| listener.local_addr())?;
     server.open();
     upgrade.settle(address);
--- a/src/bin/magpiechute/system_errors.rs
+++ b/src/bin/magpiechute/system_errors.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 /// A passing shortage is waited out for this long at a start, and the call made again this often.
-pub const START_PATIENCE: Duration = Duration::from_secs(4);
-pub const START_AGAIN: Duration = Duration::from_millis(20);
+const START_PATIENCE: Duration = Duration::from_secs(4);
+const START_AGAIN: Duration = Duration::from_millis(20);
 
 /// True for an error of the system that says that this process or machine is short of descriptors, buffers, memory, or
 /// places to watch descriptors (ENOSPC of epoll_ctl(2)).
