--- a/tests/failing_calls.rs
+++ b/tests/failing_calls.rs
@@ -3,6 +3,7 @@
 mod peers;
 use peers::*;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 const ID: &str = "Request-Id: {id}\r\n";
 
@@ -117,6 +118,32 @@
     }
 }
 
+/// How long it takes to answer many that had connected before SIGTERM.
+fn time_of_many(faults: &str) -> Duration {
+    let upstream = Upstream::start(Reply::Ok);
+    let (program, _discovery) = start(faults, &[upstream.address], 1024);
+    program.hold();
+    let mut clients: Vec<_> = (0..300).map(|_| program.client()).collect();
+    clients.iter_mut().for_each(|client| client.send("/read", ID, "").unwrap());
+    let begin = Instant::now();
+    program.terminate();
+    program.go_on();
+    for client in &mut clients {
+        assert!(client.receive().is_ok_and(|answer| answer.is_some()), "{faults}");
+    }
+    begin.elapsed()
+}
+
+/// Connections that can't be watched at once keep those behind them for a moment only: SIGKILL may be close.
+#[test]
+fn many_connections_are_served_soon_though_each_second_can_not_be_watched() {
+    let usual = time_of_many("");
+    for error in [ENOMEM, ENOSPC] {
+        let time = time_of_many(&format!("epoll_ctl_accepted:{error}:1:2:{ALWAYS}"));
+        assert!(time < 3 * usual + Duration::from_millis(500), "{time:?}, else {usual:?}, error {error}");
+    }
+}
+
 /// Errors of connect that speak of this machine cost no request its answer, and no upstream its turns.
 #[test]
 fn a_connect_that_fails_for_a_moment_costs_no_answer_and_no_upstream_its_turns() {
