Try to watch a connection again at once before waiting

Cause: Accepted::register waited 10 ms after each failure, the first one too, with all other connections behind it. Change: the first failure is followed by the next turn of the event loop, 10 ms come from the second on.

--- a/src/bin/magpiechute/listener.rs
+++ b/src/bin/magpiechute/listener.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 /// Connections that the kernel takes for us while the loop is busy.
 const BACKLOG: i32 = 4096;
-/// A connection that can't be watched for events is tried again this much later,
+/// A connection that can't be watched for events is tried again at once, then this much later,
 const REGISTER_AGAIN: Duration = Duration::from_millis(10);
 /// and so often: the others behind it wait for no longer than 0.4 s.
 const REGISTER_TRIES: usize = 40;
@@ -95,8 +96,11 @@
                 (Err(error), Ok(spare)) if is_passing(&error) && tries < REGISTER_TRIES => stream = spare,
                 (result, _) => return result,
             }
+            match tries {
+                0 => yield_now().await,
+                _ => sleep(REGISTER_AGAIN).await,
+            }
             tries += 1;
-            sleep(REGISTER_AGAIN).await;
         }
     }
 }
