Have the soak ask that none is left in the queue until SIGKILL

A new connection may be shut unread in a crowd; one that waits for nothing until SIGKILL is lost, and was passed over.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,6 +1,6 @@
 //! A process from its start to SIGKILL, drawn from a seed: clients use their connections for as long as these stay open,
-//! signals come in series, upstreams fail, some runs have a crowd of idle clients, and in some system calls fail. SIGKILL comes at the earliest
-//! moment that the protocol allows.
+//! signals come in series, upstreams fail, some runs have a crowd of idle clients, and in some system calls fail. SIGKILL
+//! comes at the earliest moment that the protocol allows.
 //!
 //! A few seeds run by default. `SOAK_SEEDS=FIRST..END` names others.
 
@@ -207,6 +207,8 @@
             // New connections may be shut unread where idle clients fill the descriptors, and come no later than 0.4 s
             // after SIGTERM where the platform sends them.
             Fate::Cut if !crowded && after < NEW_CONNECTIONS => Some("cut on a new connection"),
+            // To be shut is one thing, to wait for nothing another.
+            Fate::Cut if after < NEW_CONNECTIONS && after + *took >= KILL => Some("left until SIGKILL"),
             _ => None,
         };
         let what =
