--- a/src/bin/magpiechute/main.rs
+++ b/src/bin/magpiechute/main.rs
@@ -5,19 +5,23 @@
 mod config;
 mod discovery;
 mod driver;
+mod listener;
 mod log;
 mod raw_head;
 mod server;
 mod signals;
 mod socket;
+mod state_file;
 mod stats;
+mod steady;
 mod system_errors;
 mod upgrade;
 mod upstream;
 
 use admin::Admin;
-use config::Config;
+use config::{Config, ConfigError};
 use driver::Driver;
+use listener::Listener;
 use server::Server;
 use signals::{Signal, SIGHUP, SIGINT, SIGTERM};
 use socket::Budget;
@@ -27,7 +31,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use system_errors::outlasting;
 use tokio::runtime;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -45,6 +49,9 @@
 const LAST_REQUEST: Duration = Duration::from_millis(100);
 /// What has been taken by then is settled within the longest deadline, and this much more.
 const SETTLE: Duration = Duration::from_secs(1);
+/// A new configuration that can't be opened is tried again for this long, this often: discovery may have moved.
+const READ_PATIENCE: Duration = Duration::from_secs(2);
+const READ_AGAIN: Duration = Duration::from_millis(50);
 /// Whether the first list has come is looked up this often.
 const LOOK: Duration = Duration::from_millis(10);
 /// Idle connections are looked through this often.
@@ -57,9 +64,9 @@
         report(panic);
         std::process::abort();
     }));
-    let result = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
+    // Without a thread for the log its lines are lost, and nothing else.
+    let _ = outlasting(log::start);
+    let result = outlasting(|| runtime::Builder::new_current_thread().enable_all().build())
         .map_err(Into::into)
         .and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
     match result {
@@ -81,7 +88,7 @@
     let budget = Budget::new(sockets, config.console.is_some());
     let admin = match config.console {
         Some(address) => Some(
-            server::listen(address, false)
+            Listener::bind(address, false)
                 .await
                 .map_err(|error| format!("listen on {address} for operators: {error}"))?,
         ),
@@ -93,7 +100,8 @@
     let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
     let upgrade = Upgrade::new(folder, address, driver.clone(), server.clone(), budget.clone(), sockets);
     if let Some(listener) = admin {
-        log::line(format!("{name} takes operators' calls at {}", listener.local_addr()?));
+        let address = outlasting(|| listener.local_addr())?;
+        log::line(format!("{name} takes operators' calls at {address}"));
         spawn_local(Admin::new(driver.clone(), server.clone(), upgrade.clone(), budget).accept(listener));
     }
     let pool = driver.borrow().pool().clone();
@@ -107,7 +115,7 @@
     spawn_local(async move {
         loop {
             hangup.received().await;
-            reload(&reloaded);
+            reload(&reloaded).await;
         }
     });
     let ready = async {
@@ -124,16 +132,18 @@
         () = interrupt.received() => return Ok(()),
     }
     let listener =
-        server::listen(address, true).await.map_err(|error| format!("listen on {address}: {error}"))?;
-    let address = listener.local_addr()?;
+        Listener::bind(address, true).await.map_err(|error| format!("listen on {address}: {error}"))?;
+    let address = outlasting(|| listener.local_addr())?;
     server.open();
     upgrade.settle(address);
     log::line(format!("{name} listens on {address}"));
-    tokio::select! {
-        () = server.accept(&listener) => {}
-        () = terminate.received() => {}
-        () = interrupt.received() => {}
-    }
+    let ended = async {
+        tokio::select! {
+            () = terminate.received() => {}
+            () = interrupt.received() => {}
+        }
+    };
+    server.accept(&listener, ended).await;
     log::line(format!("{name} drains"));
     let longest = Duration::try_from_secs_f64(longest).unwrap_or_default();
     drain(&server, listener, upgrade.replaced(), longest).await;
@@ -149,10 +159,16 @@
     Ok(())
 }
 
-/// Reads the configuration again, all of it; one that is bad changes nothing. What the balancer can take over
-/// while it runs is the address of discovery.
-fn reload(driver: &RefCell<Driver>) {
-    match Config::reload() {
+/// Reads the configuration again, all of it; one that is bad changes nothing, and one that can't be opened is tried again
+/// for a while. What the balancer can take over while it runs is the address of discovery.
+async fn reload(driver: &RefCell<Driver>) {
+    let until = Instant::now() + READ_PATIENCE;
+    let mut read = Config::reload();
+    while matches!(read, Err(ConfigError::Unreadable(..))) && Instant::now() < until {
+        sleep(READ_AGAIN).await;
+        read = Config::reload();
+    }
+    match read {
         Ok(config) => {
             log::line(format!("{} has read its configuration again", config.name));
             driver.borrow_mut().move_discovery(config.discovery);
@@ -163,13 +179,12 @@
 
 /// Goes on accepting for a while, unless a new process takes the clients' connections, then until the kernel holds no
 /// more, and closes the listener.
-async fn drain(server: &Rc<Server>, listener: TcpListener, replaced: bool, longest: Duration) {
+async fn drain(server: &Rc<Server>, listener: Listener, replaced: bool, longest: Duration) {
     let settled = Instant::now() + last_moment(longest);
     server.drain(settled);
     let still_accept = still_accept(longest);
     if !replaced {
-        // The end of the time is what is waited for.
-        let _ = timeout(still_accept, server.accept(&listener)).await;
+        server.accept(&listener, sleep(still_accept)).await;
     }
     if let Err(error) = server.close(listener, settled).await {
         log::line(format!("close: {error}"));
