--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -343,6 +343,18 @@
     }
 }
 
+/// Guards against a new process that looks for the old one between the moment in which that says that it listens and the
+/// making of the socket at which they meet: the third bind takes half a second.
+#[test]
+fn a_process_that_says_it_listens_awaits_the_next_one() {
+    let rig = Rig::new();
+    let variables = [("LD_PRELOAD", failing_calls()), ("FAULTS", "bind:-500:3:1:1")];
+    let old = rig.start_with(&variables, "127.0.0.1:0");
+    let new = rig.start(&old.address.to_string());
+    assert_eq!(old.call("POST /upstreams/u0/maint").0, 200);
+    until("it is heard of", || new.figure("upstreams_excluded") == 1);
+}
+
 /// Guards against two processes that take themselves for alone because the connection on which they meet ends at once: the
 /// old one can't watch it (ENOMEM).
 #[test]
