--- a/src/bin/magpiechute/upgrade.rs
+++ b/src/bin/magpiechute/upgrade.rs
@@ -222,23 +222,24 @@
     pub fn settle(self: &Rc<Self>, address: SocketAddr) {
         self.address.set(address);
         self.tell(Line::Ready);
-        if let Some(path) = self.path("sock") {
-            spawn_local(self.clone().await_next(path));
+        let Some(path) = self.path("sock") else { return };
+        // Whoever sees that this process listens may start the next one.
+        match self.listen(&path) {
+            Ok(listener) => drop(spawn_local(self.clone().accept(listener))),
+            Err(error) => {
+                log::line(format!("no upgrade can follow yet: {}: {error}", path.display()));
+                spawn_local(self.clone().await_next(path));
+            }
         }
     }
 
-    /// Waits for the next process at this socket.
+    /// Waits for the next process at this socket, once that can be made.
     async fn await_next(self: Rc<Self>, path: PathBuf) {
-        let mut told = false;
         loop {
-            match self.listen(&path) {
-                Ok(listener) => return self.accept(listener).await,
-                Err(error) if !std::mem::replace(&mut told, true) => {
-                    log::line(format!("no upgrade can follow yet: {}: {error}", path.display()));
-                }
-                Err(_) => {}
-            }
             sleep(SOCKET_AGAIN).await;
+            if let Ok(listener) = self.listen(&path) {
+                return self.accept(listener).await;
+            }
         }
     }
 
