Report the memory reserved for reading bodies ahead, and its shortages

Cause: a request whose body waits for this memory is in no metric and no log line, so from outside it can't be told from one that a client has not sent, that waits for a descriptor or for a slot at an upstream.

Change: the metrics read_ahead_bytes and read_ahead_shortages. Behaviour is as before.

--- a/src/bin/load-balancer/dispatch/mod.rs
+++ b/src/bin/load-balancer/dispatch/mod.rs
@@ -22,6 +22,7 @@
 use crate::dispatch::timers::{Timer, TimerQueue};
 use crate::dispatch::upstream_directory::UpstreamDirectory;
 use crate::log;
+use crate::metrics::ProcessState;
 use crate::resources::Resources;
 use load_balancer::{
     Action, Balancer, Class, DiscoveryMode, Event, LearnedState, ListScope, LogEvent, SettingsError,
@@ -137,9 +138,12 @@
 
     /// Renders the metrics as the admin endpoint returns them.
     pub fn render_metrics(&self) -> String {
-        self.resources
-            .metrics
-            .render(self.upstreams.count(), self.balancer.excluded_upstreams())
+        self.resources.metrics.render(&ProcessState {
+            known_upstreams: self.upstreams.count(),
+            excluded_upstreams: self.balancer.excluded_upstreams(),
+            read_ahead_bytes: self.resources.memory.reserved_bytes(),
+            read_ahead_shortages: self.resources.memory.shortages(),
+        })
     }
 
     /// Returns the learned state of the decision module.
--- a/src/bin/load-balancer/metrics/mod.rs
+++ b/src/bin/load-balancer/metrics/mod.rs
@@ -43,6 +43,19 @@
     }
 }
 
+/// The state of other modules that is reported with the metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProcessState {
+    /// The number of listed upstreams.
+    pub known_upstreams: usize,
+    /// The number of upstreams that are listed as in service but receive no requests.
+    pub excluded_upstreams: usize,
+    /// The memory that is reserved for reading bodies ahead, in bytes.
+    pub read_ahead_bytes: usize,
+    /// The number of bodies so far for which that memory was not free.
+    pub read_ahead_shortages: u64,
+}
+
 /// Counters since the start of the process, and the number of requests in flight.
 #[derive(Debug)]
 pub struct Metrics {
@@ -78,10 +91,9 @@
         self.attempts.set(self.attempts.get() + 1);
     }
 
-    /// Returns all metrics in the statsd format, one per line. `known_upstreams` is the number of
-    /// listed upstreams, and `excluded_upstreams` the number of those that are listed as in service
-    /// but receive no requests.
-    pub fn render(&self, known_upstreams: usize, excluded_upstreams: usize) -> String {
+    /// Returns all metrics in the statsd format, one per line, with the current state of the other
+    /// modules.
+    pub fn render(&self, state: &ProcessState) -> String {
         let mut text = String::new();
         let mut write_metric = |name: &str, value: u64, kind: char| {
             // Writing to a string can't fail.
@@ -95,8 +107,10 @@
         }
         write_metric("attempts", self.attempts.get(), 'c');
         write_metric("in_flight", self.in_flight.get(), 'g');
-        write_metric("upstreams_known", known_upstreams as u64, 'g');
-        write_metric("upstreams_excluded", excluded_upstreams as u64, 'g');
+        write_metric("upstreams_known", state.known_upstreams as u64, 'g');
+        write_metric("upstreams_excluded", state.excluded_upstreams as u64, 'g');
+        write_metric("read_ahead_bytes", state.read_ahead_bytes as u64, 'g');
+        write_metric("read_ahead_shortages", state.read_ahead_shortages, 'c');
         text
     }
 }
--- a/src/bin/load-balancer/metrics/tests.rs
+++ b/src/bin/load-balancer/metrics/tests.rs
@@ -14,14 +14,20 @@
     rejected.end(RequestOutcome::Rejected);
     metrics.count_attempt();
     drop((served, disconnected));
-    let text = metrics.render(7, 2);
+    let text = metrics.render(&ProcessState {
+        known_upstreams: 7,
+        excluded_upstreams: 2,
+        read_ahead_bytes: 65_536,
+        read_ahead_shortages: 3,
+    });
     let expected = "balancer.served.a:1|c\nbalancer.refused.a:0|c\nbalancer.failed.a:0|c\n\
         balancer.served.b:0|c\nbalancer.refused.b:1|c\nbalancer.failed.b:0|c\n\
         balancer.attempts:1|c\nbalancer.in_flight:1|g\nbalancer.upstreams_known:7|g\n\
-        balancer.upstreams_excluded:2|g\n";
+        balancer.upstreams_excluded:2|g\nbalancer.read_ahead_bytes:65536|g\n\
+        balancer.read_ahead_shortages:3|c\n";
     assert_eq!(text, expected);
     failed.end(RequestOutcome::Failed);
     assert!(metrics
-        .render(0, 0)
+        .render(&ProcessState::default())
         .contains("balancer.failed.b:1|c\nbalancer.attempts:1|c\nbalancer.in_flight:0|g"));
 }
