Serve requests with a body while the memory for reading ahead is used up

What callers saw: while about a hundred long responses were being received, every request with a body stayed unanswered, neither served nor rejected, until its client gave up.

Cause: Upload::read waited in MemoryBudget::acquire for its part of the read-ahead memory, without a time limit and before the request was in any table, so no deadline, backstop or shutdown ended the wait. The holders of that memory release it only when they end.

Requests behind 104 long uploads, or 104 that were being discarded, met the same.

Change: nothing waits for this memory any more. MemoryBudget::reserve returns at once; while too little is free, 4 KiB of a body are read ahead and the rest is streamed, as it is done for responses. A response reserves no more than its length, and one of up to 4 KiB is still read completely without memory. The memory in use is bounded as before by the budget, plus at most one more part of a body per connection, which its read buffer holds anyway.

--- a/src/bin/load-balancer/body/download.rs
+++ b/src/bin/load-balancer/body/download.rs
@@ -1,6 +1,6 @@
 //! The body of a large response, streamed from an upstream to a client.
 
-use super::memory_budget::MemoryPermit;
+use super::memory_budget::ReadAheadReservation;
 use super::stall_timer::StallTimer;
 use super::{BodyError, MAX_BODY_BYTES};
 use bytes::Bytes;
@@ -25,7 +25,7 @@
     /// Notified once the complete body has been read; `None` afterwards.
     completion: Option<oneshot::Sender<()>>,
     stall: StallTimer,
-    _memory: Option<MemoryPermit>,
+    _memory: ReadAheadReservation,
 }
 
 impl Download {
@@ -38,7 +38,7 @@
         remaining: Incoming,
         length: Option<u64>,
         completion: oneshot::Sender<()>,
-        memory: Option<MemoryPermit>,
+        memory: ReadAheadReservation,
     ) -> Self {
         let bytes_read = read_ahead.iter().map(|data| data.len() as u64).sum();
         let mut download = Download {
--- /dev/null
+++ b/src/bin/load-balancer/body/memory_budget/mod.rs
@@ -0,0 +1,100 @@
+//! The memory for reading bodies ahead.
+
+use super::READ_AHEAD_BYTES;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// The memory for reading ahead is the memory of the process divided by this number. During an
+/// upgrade a second process runs next to this one and uses as much memory for reading ahead.
+const MEMORY_DIVISOR: usize = 8;
+/// Number of bytes of a body that are read ahead even if no memory is free, so that short bodies
+/// are always read completely. A connection's read buffer takes twice as much.
+const UNRESERVED_READ_AHEAD_BYTES: usize = 4 << 10;
+
+/// The memory that all bodies together may use for reading ahead.
+///
+/// Nothing waits for this memory, because it may be held for as long as a request is in flight. A
+/// body for which no memory is free is streamed after its first part.
+#[derive(Debug)]
+pub struct MemoryBudget {
+    total_bytes: usize,
+    free: Arc<Semaphore>,
+    shortages: Cell<u64>,
+}
+
+/// The memory that one body may use for reading ahead, released when dropped.
+#[derive(Debug)]
+pub struct ReadAheadReservation {
+    max_bytes: usize,
+    /// `None` if no memory was free.
+    memory: Option<OwnedSemaphorePermit>,
+}
+
+impl MemoryBudget {
+    /// Creates the budget for a process that may use `process_bytes` bytes in total.
+    #[must_use]
+    pub fn new(process_bytes: usize) -> Rc<Self> {
+        let bytes =
+            (process_bytes / MEMORY_DIVISOR).clamp(READ_AHEAD_BYTES, Semaphore::MAX_PERMITS);
+        Rc::new(MemoryBudget {
+            total_bytes: bytes,
+            free: Arc::new(Semaphore::new(bytes)),
+            shortages: Cell::new(0),
+        })
+    }
+
+    /// Returns how many bytes are reserved.
+    #[must_use]
+    pub fn reserved_bytes(&self) -> usize {
+        self.total_bytes - self.free.available_permits()
+    }
+
+    /// Returns how many bodies have found less memory free than they needed.
+    #[must_use]
+    pub fn shortages(&self) -> u64 {
+        self.shortages.get()
+    }
+
+    /// Reserves memory for reading ahead a body of `length` bytes (`None`: unknown), but at most
+    /// [`READ_AHEAD_BYTES`]. If that much memory is not free, the reservation only allows
+    /// [`UNRESERVED_READ_AHEAD_BYTES`].
+    #[must_use]
+    pub fn reserve(&self, length: Option<u64>) -> ReadAheadReservation {
+        let needed_bytes = length.map_or(READ_AHEAD_BYTES, |length| {
+            (length as usize).min(READ_AHEAD_BYTES)
+        });
+        let memory = self.free.clone();
+        if let Ok(memory) = memory.try_acquire_many_owned(needed_bytes as u32) {
+            return ReadAheadReservation {
+                max_bytes: READ_AHEAD_BYTES,
+                memory: Some(memory),
+            };
+        }
+        self.shortages.set(self.shortages.get() + 1);
+        ReadAheadReservation {
+            max_bytes: UNRESERVED_READ_AHEAD_BYTES,
+            memory: None,
+        }
+    }
+}
+
+impl ReadAheadReservation {
+    /// Returns how many bytes may be read ahead.
+    #[must_use]
+    pub fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
+    /// Releases the memory beyond `bytes` bytes.
+    pub(super) fn shrink_to(&mut self, bytes: usize) {
+        if let Some(memory) = &mut self.memory {
+            let unused = memory.num_permits().saturating_sub(bytes);
+            drop(memory.split(unused));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/bin/load-balancer/body/memory_budget/tests.rs
@@ -0,0 +1,34 @@
+//! Unit tests of the memory budget for reading ahead.
+
+use super::*;
+
+/// The total memory of a process whose budget is enough for two large bodies, in bytes.
+const PROCESS_BYTES: usize = 2 * READ_AHEAD_BYTES * MEMORY_DIVISOR;
+
+#[test]
+fn a_body_reserves_at_most_its_length() {
+    let budget = MemoryBudget::new(PROCESS_BYTES);
+    let reservations = [Some(212), Some(32 << 20), None].map(|length| budget.reserve(length));
+    assert_eq!(budget.reserved_bytes(), 212 + READ_AHEAD_BYTES);
+    assert_eq!(budget.shortages(), 1);
+    let limits = reservations.each_ref().map(ReadAheadReservation::max_bytes);
+    assert_eq!(
+        limits,
+        [
+            READ_AHEAD_BYTES,
+            READ_AHEAD_BYTES,
+            UNRESERVED_READ_AHEAD_BYTES
+        ]
+    );
+    drop(reservations);
+    assert_eq!(budget.reserved_bytes(), 0);
+}
+
+/// A short body must not wait, or be streamed, because others hold the memory.
+#[test]
+fn a_short_body_may_be_read_completely_while_no_memory_is_free() {
+    let budget = MemoryBudget::new(PROCESS_BYTES);
+    let _holders = [budget.reserve(None), budget.reserve(None)];
+    assert_eq!(budget.reserved_bytes(), 2 * READ_AHEAD_BYTES);
+    assert!(budget.reserve(Some(212)).max_bytes() >= 212);
+}
--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -1,8 +1,8 @@
 //! The body of a request. Its beginning is read ahead, and the rest is streamed to one upstream.
 
-use super::memory_budget::{MemoryBudget, MemoryPermit};
+use super::memory_budget::{MemoryBudget, ReadAheadReservation};
 use super::stall_timer::{frame_before, StallTimer};
-use super::{BodyError, CLIENT_STALL_TIMEOUT, MAX_BODY_BYTES, READ_AHEAD_BYTES};
+use super::{BodyError, CLIENT_STALL_TIMEOUT, MAX_BODY_BYTES};
 use crate::shutdown_deadline::ShutdownDeadline;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -35,7 +35,7 @@
     error: Cell<Option<BodyError>>,
     /// Notified once the complete body has been read.
     completion: RefCell<Option<oneshot::Sender<()>>>,
-    _memory: Option<MemoryPermit>,
+    _memory: Option<ReadAheadReservation>,
 }
 
 impl Upload {
@@ -49,7 +49,7 @@
         read_ahead: Bytes,
         remaining: Option<Incoming>,
         length: Option<u64>,
-        memory: Option<MemoryPermit>,
+        memory: Option<ReadAheadReservation>,
     ) -> Self {
         Upload {
             bytes_read: Cell::new(read_ahead.len() as u64),
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Reads a body until its end or until at least [`READ_AHEAD_BYTES`] have been received. The
-    /// client has to keep up the minimum mean rate, but is given at least until
+    /// Reads a body until its end, or until the bytes received exceed what `memory` allows to be
+    /// read ahead. The client has to keep up the minimum mean rate, but is given at least until
     /// `earliest_deadline`, and never longer than until `shutdown_deadline`.
     ///
     /// # Errors
@@ -86,36 +86,34 @@
         if body.is_end_stream() {
             return Ok(Self::empty());
         }
-        let reserved = length.map_or(READ_AHEAD_BYTES, |length| {
-            (length as usize).min(READ_AHEAD_BYTES)
-        });
-        let mut memory = memory.acquire(reserved).await;
+        let reservation = memory.reserve(length);
         let started = Instant::now();
         let mut read_ahead = BytesMut::new();
-        while read_ahead.len() < READ_AHEAD_BYTES {
+        while read_ahead.len() < reservation.max_bytes() {
             let min_rate_deadline =
                 started + MAX_SEND_LAG + time_at_min_rate(read_ahead.len() as u64);
             let deadline = min_rate_deadline.max(earliest_deadline);
             let deadline = shutdown_deadline.limit(deadline);
             let Some(frame) = frame_before(deadline, &mut body).await? else {
-                let unused = reserved.saturating_sub(read_ahead.len());
-                drop(memory.as_mut().and_then(|permit| permit.split(unused)));
-                return Ok(Self::complete(read_ahead, memory));
+                return Ok(Self::complete(read_ahead, reservation));
             };
             if let Ok(data) = frame.map_err(|_| BodyError::Truncated)?.into_data() {
                 read_ahead.extend(data);
             }
         }
         if body.is_end_stream() {
-            return Ok(Self::complete(read_ahead, memory));
+            return Ok(Self::complete(read_ahead, reservation));
         }
-        Ok(Self::new(read_ahead.freeze(), Some(body), length, memory))
+        let read_ahead = read_ahead.freeze();
+        Ok(Self::new(read_ahead, Some(body), length, Some(reservation)))
     }
 
     /// Creates a body that has been read to its end.
-    fn complete(read_ahead: BytesMut, memory: Option<MemoryPermit>) -> Self {
+    fn complete(read_ahead: BytesMut, mut reservation: ReadAheadReservation) -> Self {
         let length = read_ahead.len() as u64;
-        Self::new(read_ahead.freeze(), None, Some(length), memory)
+        reservation.shrink_to(read_ahead.len());
+        let read_ahead = read_ahead.freeze();
+        Self::new(read_ahead, None, Some(length), Some(reservation))
     }
 
     /// Returns the length of the complete body in bytes, if known.
--- a/src/bin/load-balancer/upstream/response.rs
+++ b/src/bin/load-balancer/upstream/response.rs
@@ -151,8 +151,8 @@
 }
 
 /// Reads the body of a successful response. Only the first part of a large body is read, so that
-/// the client receives this part without waiting for the rest. Every body counts as large while the
-/// memory for reading ahead is used up.
+/// the client receives this part without waiting for the rest. Less of a smaller body is read if
+/// too little memory is free for reading it ahead.
 async fn read_content(
     socket: &Socket,
     memory: &MemoryBudget,
@@ -165,10 +165,10 @@
             disposition: Disposition::Close,
         });
     }
-    let permit = memory.try_acquire();
-    let is_large =
-        permit.is_none() || length.is_some_and(|length| length > READ_AHEAD_BYTES as u64);
-    let prefix = read_body_prefix(socket, &mut body, length, is_large).await?;
+    let reservation = memory.reserve(length);
+    let is_large = length.is_some_and(|length| length > READ_AHEAD_BYTES as u64);
+    let max_bytes = if is_large { 0 } else { reservation.max_bytes() };
+    let prefix = read_body_prefix(socket, &mut body, length, max_bytes).await?;
     if prefix.is_complete {
         return Ok(ReceivedContent {
             content: Ok(ResponseContent::Complete(concatenate(prefix.parts))),
@@ -179,7 +179,7 @@
     // its parts.
     socket.clear_read_limit();
     let (completion, completed) = oneshot::channel();
-    let download = Download::new(prefix.parts, body, length, completion, permit);
+    let download = Download::new(prefix.parts, body, length, completion, reservation);
     Ok(ReceivedContent {
         content: Ok(ResponseContent::Streamed(Box::new(download))),
         disposition: Disposition::Streaming {
@@ -195,19 +195,18 @@
     is_complete: bool,
 }
 
-/// Reads the part of a body that must be received before the response is passed on. Only the first
-/// part of a large body is read. Any other body is read to its end, or until more than
-/// [`READ_AHEAD_BYTES`] have been read. If the length of the body is unknown, reading also ends
-/// after [`MAX_RESPONSE_DELAY`], but not before the first part has been read.
+/// Reads the part of a body that must be received before the response is passed on: all of it, or
+/// at least one part and more than `max_bytes` bytes. If the length of the body is unknown, reading
+/// also ends after [`MAX_RESPONSE_DELAY`], but not before the first part has been read.
 async fn read_body_prefix(
     socket: &Socket,
     body: &mut Incoming,
     length: Option<u64>,
-    is_large: bool,
+    max_bytes: usize,
 ) -> hyper::Result<BodyPrefix> {
     let streaming_deadline = Instant::now() + MAX_RESPONSE_DELAY;
     let (mut parts, mut size) = (VecDeque::new(), 0);
-    while size <= READ_AHEAD_BYTES && !(is_large && size > 0) {
+    while size <= max_bytes {
         let frame = if length.is_none() && size > 0 {
             match timeout_at(streaming_deadline, next_frame(socket, body)).await {
                 Ok(frame) => frame,
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -83,6 +83,13 @@
         self.input.read_exact(&mut vec![0; count]).unwrap();
     }
 
+    /// Reads one byte.
+    pub fn read_byte(&mut self) -> [u8; 1] {
+        let mut byte = [0];
+        self.input.read_exact(&mut byte).unwrap();
+        byte
+    }
+
     /// Reads until the connection ends, and returns the bytes.
     pub fn read_to_end(&mut self) -> Vec<u8> {
         let mut bytes = Vec::new();
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -28,6 +28,9 @@
     Raw(&'static str),
     /// Sends this text as the response and closes the connection.
     RawThenClose(&'static str),
+    /// Sends this text, which is only the beginning of a response, and nothing more until the peer
+    /// closes the connection.
+    RawThenSilent(&'static str),
     /// Sends nothing until the peer closes the connection.
     NoResponse,
     /// Sends no response until `release` is called, then responds as configured at that time. If
@@ -188,6 +191,11 @@
                 write!(output, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")?;
                 return output.write_all(&[b'x'; 500_000]);
             }
+            StubResponse::RawThenSilent(text) => {
+                output.write_all(text.as_bytes())?;
+                input.read_to_end(&mut Vec::new())?;
+                return Ok(());
+            }
             StubResponse::NoResponse => {
                 input.read_to_end(&mut Vec::new())?;
                 return Ok(());
