Release the read-ahead memory of long bodies once the bytes are sent

Cause: Download and Upload kept their reservation to the end of the body, up to minutes at 64 kB/s, although the bytes it was made for had long been sent. Three holders: responses (64 KiB even if only one part was read ahead), uploads, and uploads whose response was known and whose rest was only being discarded.

Change: the reservation is attached to the bytes (Bytes::from_owner) and is released when their last clone has been written or dropped. An upload drops its bytes once a later part has been read, as it can't be sent again from then on, and when it is being discarded. A response whose declared length exceeds 64 KiB reserves nothing, as only its first part is held back.

--- a/src/bin/load-balancer/body/download.rs
+++ b/src/bin/load-balancer/body/download.rs
@@ -1,6 +1,5 @@
 //! The body of a large response, streamed from an upstream to a client.
 
-use super::memory_budget::ReadAheadReservation;
 use super::stall_timer::StallTimer;
 use super::{BodyError, MAX_BODY_BYTES};
 use bytes::Bytes;
@@ -25,20 +24,17 @@
     /// Notified once the complete body has been read; `None` afterwards.
     completion: Option<oneshot::Sender<()>>,
     stall: StallTimer,
-    _memory: ReadAheadReservation,
 }
 
 impl Download {
     /// Creates a body whose beginning, `read_ahead`, has been read. `completion` is notified once
-    /// the complete body has been read, so that the upstream connection can be reused; `memory` is
-    /// held as long as the body.
+    /// the complete body has been read, so that the upstream connection can be reused.
     #[must_use]
     pub fn new(
         read_ahead: VecDeque<Bytes>,
         remaining: Incoming,
         length: Option<u64>,
         completion: oneshot::Sender<()>,
-        memory: ReadAheadReservation,
     ) -> Self {
         let bytes_read = read_ahead.iter().map(|data| data.len() as u64).sum();
         let mut download = Download {
@@ -48,7 +44,6 @@
             bytes_read,
             completion: Some(completion),
             stall: StallTimer::new(UPSTREAM_STALL_TIMEOUT),
-            _memory: memory,
         };
         if length == Some(bytes_read) {
             download.complete_reading();
--- a/src/bin/load-balancer/body/memory_budget/mod.rs
+++ b/src/bin/load-balancer/body/memory_budget/mod.rs
@@ -1,6 +1,7 @@
 //! The memory for reading bodies ahead.
 
 use super::READ_AHEAD_BYTES;
+use bytes::Bytes;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,7 +25,8 @@
     shortages: Cell<u64>,
 }
 
-/// The memory that one body may use for reading ahead, released when dropped.
+/// The memory that one body may use for reading ahead. Dropping it releases the memory that
+/// [`Self::attach`] has not attached to any bytes.
 #[derive(Debug)]
 pub struct ReadAheadReservation {
     max_bytes: usize,
@@ -32,6 +34,18 @@
     memory: Option<OwnedSemaphorePermit>,
 }
 
+/// Bytes that have been read ahead, and the memory that is reserved for them.
+struct ReservedBytes {
+    data: Bytes,
+    _memory: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
 impl MemoryBudget {
     /// Creates the budget for a process that may use `process_bytes` bytes in total.
     #[must_use]
@@ -81,17 +95,35 @@
 }
 
 impl ReadAheadReservation {
+    /// Returns a reservation of no memory, which allows no bytes to be read ahead.
+    #[must_use]
+    pub fn none() -> Self {
+        ReadAheadReservation {
+            max_bytes: 0,
+            memory: None,
+        }
+    }
+
     /// Returns how many bytes may be read ahead.
     #[must_use]
     pub fn max_bytes(&self) -> usize {
         self.max_bytes
     }
 
-    /// Releases the memory beyond `bytes` bytes.
-    pub(super) fn shrink_to(&mut self, bytes: usize) {
-        if let Some(memory) = &mut self.memory {
-            let unused = memory.num_permits().saturating_sub(bytes);
-            drop(memory.split(unused));
+    /// Keeps memory of the size of `data` reserved until all clones of the returned bytes have been
+    /// dropped. They are dropped once they have been written to a connection, or will not be.
+    #[must_use]
+    pub fn attach(&mut self, data: Bytes) -> Bytes {
+        let Some(memory) = &mut self.memory else {
+            return data;
+        };
+        let bytes = data.len().min(memory.num_permits());
+        match memory.split(bytes) {
+            Some(memory) => Bytes::from_owner(ReservedBytes {
+                data,
+                _memory: memory,
+            }),
+            None => data,
         }
     }
 }
--- a/src/bin/load-balancer/body/memory_budget/tests.rs
+++ b/src/bin/load-balancer/body/memory_budget/tests.rs
@@ -32,3 +32,30 @@
     assert_eq!(budget.reserved_bytes(), 2 * READ_AHEAD_BYTES);
     assert!(budget.reserve(Some(212)).max_bytes() >= 212);
 }
+
+/// Memory must not be counted as free while the bytes still wait to be written to a connection.
+#[test]
+fn memory_is_released_with_the_last_clone_of_the_bytes_it_is_reserved_for() {
+    let budget = MemoryBudget::new(PROCESS_BYTES);
+    let mut reservation = budget.reserve(None);
+    let parts = ["one", "three"].map(|part| reservation.attach(Bytes::from(part)));
+    drop(reservation);
+    assert_eq!(budget.reserved_bytes(), "one".len() + "three".len());
+    let [first, second] = parts;
+    let first_being_written = first.clone();
+    drop((first, second));
+    assert_eq!(budget.reserved_bytes(), "one".len());
+    assert_eq!(&first_being_written[..], b"one");
+    drop(first_being_written);
+    assert_eq!(budget.reserved_bytes(), 0);
+}
+
+#[test]
+fn bytes_without_reserved_memory_are_returned_unchanged() {
+    let budget = MemoryBudget::new(PROCESS_BYTES);
+    let _holders = [budget.reserve(None), budget.reserve(None)];
+    for mut reservation in [budget.reserve(None), ReadAheadReservation::none()] {
+        assert_eq!(&reservation.attach(Bytes::from("part"))[..], b"part");
+    }
+    assert_eq!(budget.reserved_bytes(), 2 * READ_AHEAD_BYTES);
+}
--- a/src/bin/load-balancer/body/mod.rs
+++ b/src/bin/load-balancer/body/mod.rs
@@ -1,8 +1,9 @@
 //! Bodies of requests and responses. Small bodies are read completely before they are forwarded,
 //! large ones are streamed.
 //!
-//! The memory for reading ahead is limited by one [`MemoryBudget`], and a streamed body is only
-//! read as fast as its receiver accepts it. [`Upload`] and [`UploadBody`] represent a request's
+//! The memory for reading ahead is limited by one [`MemoryBudget`], for which nothing waits. It is
+//! released with the bytes that were read ahead, not at the end of their body. A streamed body is
+//! only read as fast as its receiver accepts it. [`Upload`] and [`UploadBody`] represent a request's
 //! body, [`Download`] and [`ResponseBody`] a response's body.
 
 mod download;
@@ -12,7 +13,7 @@
 mod upload;
 
 pub use download::Download;
-pub use memory_budget::MemoryBudget;
+pub use memory_budget::{MemoryBudget, ReadAheadReservation};
 pub use response_body::ResponseBody;
 pub use upload::{Upload, UploadBody};
 
--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -23,44 +23,39 @@
 /// A request body: the bytes that have been read ahead, and the rest that is still being received.
 #[derive(Debug)]
 pub struct Upload {
-    read_ahead: Bytes,
+    /// The bytes that have been read ahead, with their memory. They are dropped once they can't be
+    /// sent again.
+    read_ahead: RefCell<Bytes>,
     /// The rest of the body; `None` once it has been read or is being discarded.
     remaining: RefCell<Option<Incoming>>,
     length: Option<u64>,
     bytes_read: Cell<u64>,
     last_progress: Cell<Instant>,
-    /// Whether bytes after those read ahead have been read, so that they can't be sent to another
-    /// upstream.
+    /// Whether bytes after those read ahead have been read or discarded, so that the body can't be
+    /// sent to another upstream.
     is_consumed: Cell<bool>,
     error: Cell<Option<BodyError>>,
     /// Notified once the complete body has been read.
     completion: RefCell<Option<oneshot::Sender<()>>>,
-    _memory: Option<ReadAheadReservation>,
 }
 
 impl Upload {
     /// Creates an empty body.
     #[must_use]
     pub fn empty() -> Self {
-        Self::new(Bytes::new(), None, Some(0), None)
+        Self::new(Bytes::new(), None, Some(0))
     }
 
-    fn new(
-        read_ahead: Bytes,
-        remaining: Option<Incoming>,
-        length: Option<u64>,
-        memory: Option<ReadAheadReservation>,
-    ) -> Self {
+    fn new(read_ahead: Bytes, remaining: Option<Incoming>, length: Option<u64>) -> Self {
         Upload {
             bytes_read: Cell::new(read_ahead.len() as u64),
-            read_ahead,
+            read_ahead: RefCell::new(read_ahead),
             remaining: RefCell::new(remaining),
             length,
             last_progress: Cell::new(Instant::now()),
             is_consumed: Cell::new(false),
             error: Cell::new(None),
             completion: RefCell::new(None),
-            _memory: memory,
         }
     }
 
@@ -86,7 +81,7 @@
         if body.is_end_stream() {
             return Ok(Self::empty());
         }
-        let reservation = memory.reserve(length);
+        let mut reservation = memory.reserve(length);
         let started = Instant::now();
         let mut read_ahead = BytesMut::new();
         while read_ahead.len() < reservation.max_bytes() {
@@ -104,16 +99,15 @@
         if body.is_end_stream() {
             return Ok(Self::complete(read_ahead, reservation));
         }
-        let read_ahead = read_ahead.freeze();
-        Ok(Self::new(read_ahead, Some(body), length, Some(reservation)))
+        let read_ahead = reservation.attach(read_ahead.freeze());
+        Ok(Self::new(read_ahead, Some(body), length))
     }
 
     /// Creates a body that has been read to its end.
     fn complete(read_ahead: BytesMut, mut reservation: ReadAheadReservation) -> Self {
         let length = read_ahead.len() as u64;
-        reservation.shrink_to(read_ahead.len());
-        let read_ahead = read_ahead.freeze();
-        Self::new(read_ahead, None, Some(length), Some(reservation))
+        let read_ahead = reservation.attach(read_ahead.freeze());
+        Self::new(read_ahead, None, Some(length))
     }
 
     /// Returns the length of the complete body in bytes, if known.
@@ -160,9 +154,11 @@
         receiver
     }
 
-    /// Reads and drops the rest of the body, up to [`MAX_BODY_BYTES`] in total, because a client
-    /// that is still sending may read its response only afterwards.
+    /// Drops the bytes that have been read ahead. Then reads and drops the rest of the body, up to
+    /// [`MAX_BODY_BYTES`] in total, because a client that is still sending may read its response
+    /// only afterwards.
     pub async fn discard(&self) {
+        self.drop_read_ahead();
         let Some(mut remaining) = self.remaining.borrow_mut().take() else {
             return;
         };
@@ -176,6 +172,12 @@
         }
     }
 
+    /// Drops the bytes that were read ahead, because the body can't be sent again.
+    fn drop_read_ahead(&self) {
+        self.is_consumed.set(true);
+        self.read_ahead.take();
+    }
+
     /// Reads the next part after the bytes that were read ahead. Trailers are dropped.
     fn poll_remaining(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         let mut remaining = self.remaining.borrow_mut();
@@ -195,7 +197,7 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            self.is_consumed.set(true);
+            self.drop_read_ahead();
             self.last_progress.set(Instant::now());
             self.bytes_read
                 .set(self.bytes_read.get() + data.len() as u64);
@@ -246,6 +248,19 @@
         body
     }
 
+    /// Returns the bytes that were read ahead, if there are any, on its first call. Fails if they
+    /// have been dropped.
+    fn take_read_ahead(&mut self) -> Option<Result<Bytes, BodyError>> {
+        if mem::replace(&mut self.is_read_ahead_sent, true) {
+            return None;
+        }
+        if !self.upload.is_replayable() {
+            return Some(Err(BodyError::Truncated));
+        }
+        let read_ahead = self.upload.read_ahead.borrow().clone();
+        (!read_ahead.is_empty()).then_some(Ok(read_ahead))
+    }
+
     fn report_completion(&mut self) {
         if self.upload.is_streamed() {
             return;
@@ -264,8 +279,8 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if !mem::replace(&mut self.is_read_ahead_sent, true) && !self.upload.read_ahead.is_empty() {
-            return Poll::Ready(Some(Ok(Frame::data(self.upload.read_ahead.clone()))));
+        if let Some(read_ahead) = self.take_read_ahead() {
+            return Poll::Ready(Some(read_ahead.map(Frame::data)));
         }
         let upload = self.upload.clone();
         let part = upload.poll_remaining(cx);
@@ -287,7 +302,9 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        (self.is_read_ahead_sent || self.upload.read_ahead.is_empty()) && !self.upload.is_streamed()
+        let is_read_ahead_done = self.is_read_ahead_sent
+            || self.upload.is_replayable() && self.upload.read_ahead.borrow().is_empty();
+        is_read_ahead_done && !self.upload.is_streamed()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/src/bin/load-balancer/upstream/response.rs
+++ b/src/bin/load-balancer/upstream/response.rs
@@ -2,7 +2,10 @@
 
 use super::headers::lists_token;
 use super::AttemptError;
-use crate::body::{Download, MemoryBudget, MAX_BODY_BYTES, MAX_RESPONSE_DELAY, READ_AHEAD_BYTES};
+use crate::body::{
+    Download, MemoryBudget, ReadAheadReservation, MAX_BODY_BYTES, MAX_RESPONSE_DELAY,
+    READ_AHEAD_BYTES,
+};
 use crate::socket::Socket;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -165,9 +168,13 @@
             disposition: Disposition::Close,
         });
     }
-    let reservation = memory.reserve(length);
     let is_large = length.is_some_and(|length| length > READ_AHEAD_BYTES as u64);
-    let max_bytes = if is_large { 0 } else { reservation.max_bytes() };
+    let mut reservation = if is_large {
+        ReadAheadReservation::none()
+    } else {
+        memory.reserve(length)
+    };
+    let max_bytes = reservation.max_bytes();
     let prefix = read_body_prefix(socket, &mut body, length, max_bytes).await?;
     if prefix.is_complete {
         return Ok(ReceivedContent {
@@ -179,7 +186,9 @@
     // its parts.
     socket.clear_read_limit();
     let (completion, completed) = oneshot::channel();
-    let download = Download::new(prefix.parts, body, length, completion, reservation);
+    let parts = prefix.parts.into_iter();
+    let read_ahead = parts.map(|part| reservation.attach(part)).collect();
+    let download = Download::new(read_ahead, body, length, completion);
     Ok(ReceivedContent {
         content: Ok(ResponseContent::Streamed(Box::new(download))),
         disposition: Disposition::Streaming {
