--- a/tests/read_ahead_memory.rs
+++ b/tests/read_ahead_memory.rs
@@ -40,12 +40,12 @@
         .collect()
 }
 
-/// Sends requests whose responses are [`RESPONSE_BEGINNINGS`], and returns their clients once each
-/// has received the beginning.
-fn receive_beginnings(program: &Program) -> Vec<Client> {
+/// Sends requests with this body whose responses are [`RESPONSE_BEGINNINGS`], and returns their
+/// clients once each has received the beginning.
+fn receive_beginnings(program: &Program, path: &str, body: &str) -> Vec<Client> {
     let mut clients: Vec<_> = (0..HOLDERS).map(|_| program.client()).collect();
     for client in &mut clients {
-        client.send("/read", REQUEST_ID, "").unwrap();
+        client.send(path, REQUEST_ID, body).unwrap();
         let mut received = Vec::new();
         while !received.ends_with(b"beginning") {
             received.extend(client.read_byte());
@@ -66,7 +66,7 @@
     for beginning in RESPONSE_BEGINNINGS {
         let upstreams = start_upstreams(StubResponse::RawThenSilent(beginning));
         let (program, _discovery) = start_with_little_memory(&upstreams);
-        let _readers = receive_beginnings(&program);
+        let _readers = receive_beginnings(&program, "/read", "");
         for upstream in &upstreams {
             upstream.set_response(StubResponse::Ok);
         }
@@ -121,14 +121,18 @@
 }
 
 /// Guards against long responses that hold memory until their ends, so that other bodies can't be
-/// read ahead: the bytes that were read ahead have long been sent to the client.
+/// read ahead: the bytes that were read ahead have long been sent to the client, and the bodies of
+/// the requests to the upstream.
 #[test]
 fn a_long_response_releases_the_memory_of_the_bytes_that_were_sent() {
     for beginning in RESPONSE_BEGINNINGS {
         let upstreams = start_upstreams(StubResponse::RawThenSilent(beginning));
         let (program, _discovery) = start_with_little_memory(&upstreams);
-        let _readers = receive_beginnings(&program);
-        assert_eq!(program.metric("in_flight"), HOLDERS as u64);
+        let _readers = [
+            receive_beginnings(&program, "/read", ""),
+            receive_beginnings(&program, "/pay", &large_body(6)),
+        ];
+        assert_eq!(program.metric("in_flight"), 2 * HOLDERS as u64);
         wait_until("the memory is released", || {
             program.metric("read_ahead_bytes") == 0
         });
