Tests keep the ports that ended programs have listened on

Two tests used the address of a socket that they had closed as one that refuses connections.

Change: the harness binds the port of each program that listens for clients, without listening, until the test process ends (SO_REUSEPORT, which programs set to share their port). Refusing addresses stay bound. If a program ends before it listens, the panic shows its log.

--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -136,12 +136,8 @@
 
 #[test]
 fn a_large_request_is_retried_while_its_streamed_part_is_unread() {
-    let refusing = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
     let upstream = StubUpstream::start(StubResponse::Ok);
-    let (program, _discovery) = Program::with_upstreams(&[refusing, upstream.address]);
+    let (program, _discovery) = Program::with_upstreams(&[refusing_address(), upstream.address]);
     let body = body_of(1 << 20);
     for _ in 0..4 {
         assert_eq!(
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -33,7 +33,7 @@
         StubDiscovery::start(),
     );
     for discovery in [
-        RefusingPort::new().address,
+        refusing_address(),
         unreachable_address(),
         refusing.address,
         silent.address,
--- a/tests/support/ports.rs
+++ b/tests/support/ports.rs
@@ -25,6 +25,16 @@
     address
 }
 
+/// Keeps a port, on which a program listens, from being given to another process once the program
+/// has ended. Until the test process ends, only programs that share their port can listen on it.
+pub fn keep_port(address: SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_reuse_port(true).unwrap();
+    let bound = socket.bind(&address.into());
+    bound.expect("the program does not share its port");
+    std::mem::forget(socket);
+}
+
 /// Returns whether a connection attempt to this address is waiting for the answer to its SYN.
 pub fn has_pending_connect(address: SocketAddr) -> bool {
     tcp_endpoints()
--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -133,26 +133,30 @@
         Self::wait_until_listening(child, config)
     }
 
-    /// Waits until the process listens, and reads its addresses from its log.
+    /// Waits until the process listens, and reads its addresses from its log. Another process can
+    /// be started at its address for clients even after it has ended: see [`keep_port`].
     fn wait_until_listening(mut child: Child, config: PathBuf) -> Self {
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let (mut line, mut admin) = (String::new(), None);
+        let (mut line, mut earlier_lines, mut admin) = (String::new(), String::new(), None);
         let address_at_end =
             |line: &str| line.trim_end().rsplit(' ').next().unwrap().parse().unwrap();
         while !line.contains("listening for clients: ") {
+            earlier_lines.push_str(&line);
             line.clear();
             assert!(
                 log.read_line(&mut line).unwrap() > 0,
-                "the process closed its log before it listened for clients"
+                "the process closed its log before it listened for clients: {earlier_lines}"
             );
             if line.contains("listening for admin requests: ") {
                 admin = Some(address_at_end(&line));
             }
         }
+        let address = address_at_end(&line);
+        keep_port(address);
         Program {
             child,
             config,
-            address: address_at_end(&line),
+            address,
             admin,
         }
     }
