--- a/src/bin/load-balancer/body/mod.rs
+++ b/src/bin/load-balancer/body/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! The memory for reading ahead is limited by one [`MemoryBudget`], for which nothing waits. It is
 //! released with the bytes that were read ahead, not at the end of their body. A streamed body is
-//! only read as fast as its receiver accepts it. [`Upload`] and [`UploadBody`] represent a request's
-//! body, [`Download`] and [`ResponseBody`] a response's body.
+//! only read as fast as its receiver accepts it. [`Upload`] and [`UploadBody`] represent a
+//! request's body, [`Download`] and [`ResponseBody`] a response's body.
 
 mod download;
 mod memory_budget;
