Tests kill a program whose port can't be kept

Cause: keep_port was called before the process belonged to a Program, so a panic in it left the process running.

Change: the Program is built first, and its drop kills the process.

--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -151,14 +151,15 @@
                 admin = Some(address_at_end(&line));
             }
         }
-        let address = address_at_end(&line);
-        keep_port(address);
-        Program {
+        let program = Program {
             child,
             config,
-            address,
+            address: address_at_end(&line),
             admin,
-        }
+        };
+        // If this panics, the process is killed.
+        keep_port(program.address);
+        program
     }
 
     /// Starts the program with an admin endpoint, a discovery service and these upstreams, named
