--- a/src/bin/load-balancer/body/mod.rs
+++ b/src/bin/load-balancer/body/mod.rs
@@ -23,8 +23,8 @@
 /// Maximum size of a request or response body in bytes.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
 /// A body of fewer bytes is read completely before any of it is forwarded, so that it can be
-/// retried, or found to be truncated. Larger bodies are streamed, and so are smaller responses that
-/// are slow or for which no memory is free.
+/// retried, or found to be truncated. Larger bodies are streamed, and so are smaller ones for which
+/// no memory is free and smaller responses that are slow.
 pub const READ_AHEAD_BYTES: usize = 64 << 10;
 /// Maximum time for which a response of unknown length is held back, as its client may be waiting
 /// for the beginning.
--- a/tests/read_ahead_memory.rs
+++ b/tests/read_ahead_memory.rs
@@ -54,6 +54,12 @@
     clients
 }
 
+fn wait_until_memory_is_released(program: &Program) {
+    wait_until("the memory is released", || {
+        program.metric("read_ahead_bytes") == 0
+    });
+}
+
 /// Returns a body of 60,000 bytes that differs from those of other numbers.
 fn large_body(number: usize) -> String {
     format!("{number:06}").repeat(10_000)
@@ -115,9 +121,7 @@
     for client in &mut clients {
         assert_eq!(client.receive().unwrap().unwrap().status(), 200);
     }
-    wait_until("the memory is released", || {
-        program.metric("read_ahead_bytes") == 0
-    });
+    wait_until_memory_is_released(&program);
 }
 
 /// Guards against long responses that hold memory until their ends, so that other bodies can't be
@@ -133,9 +137,7 @@
             receive_beginnings(&program, "/pay", &large_body(6)),
         ];
         assert_eq!(program.metric("in_flight"), 2 * HOLDERS as u64);
-        wait_until("the memory is released", || {
-            program.metric("read_ahead_bytes") == 0
-        });
+        wait_until_memory_is_released(&program);
     }
 }
 
@@ -149,9 +151,7 @@
         let mut client = program.client();
         let upload = SlowUpload::begin(&mut client, &large_body(7).repeat(2));
         wait_until("the upload has begun", || program.metric("in_flight") == 1);
-        wait_until("the memory is released", || {
-            program.metric("read_ahead_bytes") == 0
-        });
+        wait_until_memory_is_released(&program);
         let sent = upload.finish();
         let response = client.receive();
         let forwarded = upstream.seen.try_recv();
@@ -172,9 +172,7 @@
         let mut client = program.client();
         let upload = SlowUpload::begin(&mut client, &large_body(8).repeat(2));
         let response = client.receive();
-        wait_until("the memory is released", || {
-            program.metric("read_ahead_bytes") == 0
-        });
+        wait_until_memory_is_released(&program);
         let sent = upload.finish();
         sent.map(|_| {
             assert_eq!(response.unwrap().unwrap().status(), 503);
