Count a request's time from when its client sent it, not from when it is read

Cause: a deadline is the time of the last progress plus the timeout, and the time of a read was taken for that of the arrival. The rest of a body beyond the part that is read ahead is read by the attempt, so a queued request got its whole timeout again. On related paths the same happened to any request that is read late: behind a long response on its connection, on a connection that is not accepted yet, and while the process is not running.

Change: the kernel records when input arrives (SO_TIMESTAMPNS), and client connections are read with recvmsg. ArrivalEstimator derives when the client sent the bytes. What lies in this machine's receive buffer has an exact time. If the receive window may have been closed, the client's kernel may have held what follows, and the earliest possible time is taken until the buffer has been empty for 50 ms; a send buffer holds 4 MiB at most, so the end of a long body can't have been sent before. The times are offsets in the input, so pipelined requests have their own. ReceiveClock converts the wall clock times and drops those from before a step of that clock.

Three of the new tests in tests/request_arrival.rs fail on: hanging upstream (502 after 6.50 s of 4 s), suspended process (503 after 6.50 s), request behind a long response (502 after 6.56 s). The other four hold before and after: requests are still served, and slow clients keep their whole time.

--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload.rs
@@ -4,6 +4,7 @@
 use super::stall_timer::{frame_before, StallTimer};
 use super::{BodyError, CLIENT_STALL_TIMEOUT, MAX_BODY_BYTES};
 use crate::shutdown_deadline::ShutdownDeadline;
+use crate::socket::RequestArrival;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -30,7 +31,7 @@
     remaining: RefCell<Option<Incoming>>,
     length: Option<u64>,
     bytes_read: Cell<u64>,
-    last_progress: Cell<Instant>,
+    arrival: RequestArrival,
     /// Whether bytes after those read ahead have been read or discarded, so that the body can't be
     /// sent to another upstream.
     is_consumed: Cell<bool>,
@@ -40,19 +41,25 @@
 }
 
 impl Upload {
-    /// Creates an empty body.
+    /// Creates the empty body of a request.
     #[must_use]
-    pub fn empty() -> Self {
-        Self::new(Bytes::new(), None, Some(0))
+    pub fn empty(arrival: RequestArrival) -> Self {
+        Self::new(Bytes::new(), None, Some(0), arrival)
     }
 
-    fn new(read_ahead: Bytes, remaining: Option<Incoming>, length: Option<u64>) -> Self {
+    fn new(
+        read_ahead: Bytes,
+        remaining: Option<Incoming>,
+        length: Option<u64>,
+        arrival: RequestArrival,
+    ) -> Self {
+        arrival.record_progress();
         Upload {
             bytes_read: Cell::new(read_ahead.len() as u64),
             read_ahead: RefCell::new(read_ahead),
             remaining: RefCell::new(remaining),
             length,
-            last_progress: Cell::new(Instant::now()),
+            arrival,
             is_consumed: Cell::new(false),
             error: Cell::new(None),
             completion: RefCell::new(None),
@@ -70,6 +77,7 @@
     /// if it is not received in time.
     pub async fn read(
         mut body: Incoming,
+        arrival: RequestArrival,
         memory: &MemoryBudget,
         earliest_deadline: Instant,
         shutdown_deadline: &ShutdownDeadline,
@@ -79,7 +87,7 @@
             return Err(BodyError::TooLarge);
         }
         if body.is_end_stream() {
-            return Ok(Self::empty());
+            return Ok(Self::empty(arrival));
         }
         let mut reservation = memory.reserve(length);
         let started = Instant::now();
@@ -90,24 +98,28 @@
             let deadline = min_rate_deadline.max(earliest_deadline);
             let deadline = shutdown_deadline.limit(deadline);
             let Some(frame) = frame_before(deadline, &mut body).await? else {
-                return Ok(Self::complete(read_ahead, reservation));
+                return Ok(Self::complete(read_ahead, reservation, arrival));
             };
             if let Ok(data) = frame.map_err(|_| BodyError::Truncated)?.into_data() {
                 read_ahead.extend(data);
             }
         }
         if body.is_end_stream() {
-            return Ok(Self::complete(read_ahead, reservation));
+            return Ok(Self::complete(read_ahead, reservation, arrival));
         }
         let read_ahead = reservation.attach(read_ahead.freeze());
-        Ok(Self::new(read_ahead, Some(body), length))
+        Ok(Self::new(read_ahead, Some(body), length, arrival))
     }
 
     /// Creates a body that has been read to its end.
-    fn complete(read_ahead: BytesMut, mut reservation: ReadAheadReservation) -> Self {
+    fn complete(
+        read_ahead: BytesMut,
+        mut reservation: ReadAheadReservation,
+        arrival: RequestArrival,
+    ) -> Self {
         let length = read_ahead.len() as u64;
         let read_ahead = reservation.attach(read_ahead.freeze());
-        Self::new(read_ahead, None, Some(length))
+        Self::new(read_ahead, None, Some(length), arrival)
     }
 
     /// Returns the length of the complete body in bytes, if known.
@@ -116,15 +128,11 @@
         self.length
     }
 
-    /// Returns the time at which a part of the body was last received.
+    /// Returns when the client sent the last byte of the request that has been read so far, or the
+    /// earliest possible time if it is not known exactly.
     #[must_use]
-    pub fn last_progress(&self) -> Instant {
-        self.last_progress.get()
-    }
-
-    /// Sets the time of the last progress to when the client's bytes were received.
-    pub fn set_last_progress(&self, time: Instant) {
-        self.last_progress.set(time);
+    pub fn sent_at(&self) -> Instant {
+        self.arrival.sent_at()
     }
 
     /// Returns whether the rest of the body still has to be read.
@@ -189,7 +197,7 @@
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => return Poll::Ready(Some(Err(BodyError::Truncated))),
                 None => {
-                    self.last_progress.set(Instant::now());
+                    self.arrival.record_progress();
                     self.complete_reading(&mut remaining);
                     return Poll::Ready(None);
                 }
@@ -198,7 +206,7 @@
                 continue;
             };
             self.drop_read_ahead();
-            self.last_progress.set(Instant::now());
+            self.arrival.record_progress();
             self.bytes_read
                 .set(self.bytes_read.get() + data.len() as u64);
             if self.bytes_read.get() > MAX_BODY_BYTES {
--- a/src/bin/load-balancer/dispatch/request_table/tests.rs
+++ b/src/bin/load-balancer/dispatch/request_table/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::body::Upload;
+use crate::socket::{PeerHandle, RequestArrival};
 use hyper::{HeaderMap, Method, Uri};
 use std::future::pending;
 use tokio::task::{spawn_local, LocalSet};
@@ -38,7 +39,10 @@
         method: Method::GET,
         uri: Uri::from_static("/call"),
         headers: HeaderMap::new(),
-        upload: Rc::new(Upload::empty()),
+        upload: Rc::new(Upload::empty(RequestArrival::new(
+            PeerHandle::default(),
+            None,
+        ))),
         client: Default::default(),
         timeout: Duration::from_secs(1),
         shutdown_deadline: Default::default(),
--- a/src/bin/load-balancer/dispatch/tests/mod.rs
+++ b/src/bin/load-balancer/dispatch/tests/mod.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::body::Upload;
 use crate::discovery::{Endpoint, EndpointStatus};
+use crate::socket::{PeerHandle, RequestArrival};
 use crate::upstream::{ForwardedRequest, ResponseContent};
 use hyper::{HeaderMap, Method, Uri};
 use load_balancer::Settings;
@@ -55,7 +56,10 @@
 
 fn request_with_deadline(request_timeout: Duration) -> ValidatedRequest {
     let (method, uri, headers) = (Method::GET, Uri::from_static("/call"), HeaderMap::new());
-    let upload = Rc::new(Upload::empty());
+    let upload = Rc::new(Upload::empty(RequestArrival::new(
+        PeerHandle::default(),
+        None,
+    )));
     let forwarded_request = ForwardedRequest {
         method,
         uri,
--- a/src/bin/load-balancer/server/accept.rs
+++ b/src/bin/load-balancer/server/accept.rs
@@ -140,7 +140,8 @@
         let Some(permit) = self.acquire_permit().await else {
             return;
         };
-        let client = ClientConnection::new(Socket::new(stream, permit.descriptor));
+        let socket = Socket::of_client(stream, permit.descriptor, self.receive_clock.clone());
+        let client = ClientConnection::new(socket);
         let id = self.connections.insert(client.clone());
         spawn_local(self.clone().serve(id, client, permit.admission));
     }
--- a/src/bin/load-balancer/server/drain.rs
+++ b/src/bin/load-balancer/server/drain.rs
@@ -59,7 +59,7 @@
     pub(super) fn arrived_late(&self, upload: &Upload) -> bool {
         self.late_request_cutoff
             .get()
-            .is_some_and(|cutoff| upload.last_progress() > cutoff)
+            .is_some_and(|cutoff| upload.sent_at() > cutoff)
     }
 
     /// Returns whether the next response closes its connection. Closing loses pipelined requests
--- a/src/bin/load-balancer/server/listener.rs
+++ b/src/bin/load-balancer/server/listener.rs
@@ -1,5 +1,6 @@
 //! A listening socket that loses no connections when system calls fail transiently.
 
+use crate::socket::enable_receive_timestamps;
 use crate::socket::system_errors::{is_transient, retry_transient_errors};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io;
@@ -52,6 +53,8 @@
         retry_transient_errors(|| socket.set_nonblocking(true))?;
         retry_transient_errors(|| socket.set_reuse_address(true))?;
         retry_transient_errors(|| socket.set_reuse_port(is_shared))?;
+        // Without timestamps, the time of a read is taken for that of the arrival.
+        let _ = retry_transient_errors(|| enable_receive_timestamps(&socket));
         retry_transient_errors(|| socket.bind(&address.into()))?;
         retry_transient_errors(|| socket.listen(LISTEN_BACKLOG))?;
         let registered =
--- a/src/bin/load-balancer/server/mod.rs
+++ b/src/bin/load-balancer/server/mod.rs
@@ -27,6 +27,7 @@
 use crate::resources::Resources;
 use crate::server::connection_table::ConnectionTable;
 use crate::server::drain::DrainState;
+use crate::socket::ReceiveClock;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::time::Instant;
@@ -37,6 +38,7 @@
     resources: Resources,
     connections: ConnectionTable,
     drain_state: DrainState,
+    receive_clock: Rc<ReceiveClock>,
     is_listening: Cell<bool>,
     /// When a failed accept was last logged; `None` before the first one.
     accept_error_logged_at: Cell<Option<Instant>>,
@@ -50,6 +52,7 @@
             resources,
             connections: ConnectionTable::default(),
             drain_state: DrainState::default(),
+            receive_clock: Rc::default(),
             is_listening: Cell::new(false),
             accept_error_logged_at: Cell::new(None),
         })
--- a/src/bin/load-balancer/server/request.rs
+++ b/src/bin/load-balancer/server/request.rs
@@ -7,9 +7,9 @@
 use crate::server::request_error::RequestError;
 use crate::server::timeouts::REQUEST_ARRIVAL_TIMEOUT;
 use crate::server::Server;
-use crate::socket::Socket;
+use crate::socket::{RequestArrival, Socket};
 use crate::upstream::{end_to_end_headers, ForwardedRequest};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
@@ -68,8 +68,12 @@
         let received_at = Instant::now();
         let (head, body) = request.into_parts();
         let validated = self.validate_head(&head, &client.socket)?;
-        let upload = self.receive_body(body, client, received_at).await?;
-        client.set_request_end(validated.framing.end_offset(&upload));
+        let end_offset = validated.framing.end_offset(&body);
+        let arrival = RequestArrival::new(client.socket.peer(), end_offset);
+        let upload = self
+            .receive_body(body, client, received_at, arrival)
+            .await?;
+        client.set_request_end(end_offset);
         let forwarded_request = self.forwarded_request(head, upload, validated.timeout, client)?;
         Ok(ValidatedRequest {
             client_request_id: validated.request_id,
@@ -108,23 +112,21 @@
         body: Incoming,
         client: &ClientConnection,
         received_at: Instant,
+        arrival: RequestArrival,
     ) -> Result<Upload, BodyError> {
         let request_started_at = client.socket.request_started_at().unwrap_or(received_at);
         let deadline = client
             .first_request_deadline()
             .unwrap_or(request_started_at + REQUEST_ARRIVAL_TIMEOUT);
         client.enter(Phase::ReceivingBody);
-        let upload = Upload::read(
+        Upload::read(
             body,
+            arrival,
             &self.resources.memory,
             deadline,
             self.drain_state.shutdown_deadline(),
         )
-        .await?;
-        // The timeout of a pipelined request starts when its bytes are received, not when the
-        // server gets to it.
-        upload.set_last_progress(client.socket.last_read());
-        Ok(upload)
+        .await
     }
 
     fn forwarded_request(
@@ -173,8 +175,8 @@
 
     /// Returns the offset of the body's end in the bytes received on the connection, if known. The
     /// end of a chunked body is unknown, as the body's length doesn't include the chunk headers.
-    fn end_offset(&self, upload: &Upload) -> Option<usize> {
-        let length = upload.length().filter(|_| !self.is_chunked);
+    fn end_offset(&self, body: &Incoming) -> Option<usize> {
+        let length = body.size_hint().exact().filter(|_| !self.is_chunked);
         self.start_offset
             .zip(length)
             .map(|(start, length)| start + length as usize)
--- /dev/null
+++ b/src/bin/load-balancer/socket/arrival/mod.rs
@@ -0,0 +1,163 @@
+//! Estimates when the bytes of a client were sent, which may be long before they are read.
+//!
+//! Bytes that are not read at once are first stored in the receive buffer of this machine. The
+//! kernel records when they arrived there. Once the buffer is full, the receive window is closed
+//! and the client's kernel stores what the client sends: these bytes arrive only when the window
+//! opens again. When the client sent them is not known then, and the earliest possible time is
+//! taken. A request is thus never given more time than its client has left.
+
+mod withheld_input;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use tokio::time::Instant;
+use withheld_input::WithheldInput;
+
+/// While fewer bytes are unread, the receive window is open.
+const MIN_RECEIVE_WINDOW_BYTES: usize = 32 << 10;
+/// Maximum number of stored arrivals. They cover the input that was read, but not yet processed.
+const MAX_ARRIVALS: usize = 64;
+/// Arrivals within this time of each other are stored as one.
+const ARRIVAL_RESOLUTION: Duration = Duration::from_millis(10);
+
+/// The arrival of the bytes up to an offset in the input of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Arrival {
+    end_offset: usize,
+    at: Instant,
+}
+
+/// Consecutive reads that left the receive buffer not empty, as far as known.
+#[derive(Debug)]
+struct Burst {
+    began: Instant,
+    bytes: usize,
+}
+
+impl Burst {
+    /// Returns whether the receive window may have been closed since the burst began or before.
+    fn may_have_closed_window(&self) -> bool {
+        self.bytes >= MIN_RECEIVE_WINDOW_BYTES
+    }
+}
+
+/// Estimates when the bytes of one connection were sent.
+#[derive(Debug, Default)]
+pub(super) struct ArrivalEstimator {
+    bytes_read: usize,
+    /// `None` while the receive buffer is empty, as far as known.
+    burst: Option<Burst>,
+    /// When the receive buffer was last found to be empty.
+    empty_at: Option<Instant>,
+    /// Set while the client's kernel may hold bytes for which the receive window was closed.
+    withheld: Option<WithheldInput>,
+    /// Estimates for the latest bytes, in ascending order.
+    sent: VecDeque<Arrival>,
+}
+
+impl ArrivalEstimator {
+    /// Records that `count` bytes were read at `now`, the last of which arrived at `arrived_at`.
+    pub(super) fn record_read(&mut self, count: usize, arrived_at: Instant, now: Instant) {
+        let arrived_at = self
+            .empty_at
+            .map_or(arrived_at, |empty| arrived_at.max(empty));
+        let burst = self.burst.get_or_insert(Burst {
+            began: now,
+            bytes: 0,
+        });
+        if burst.may_have_closed_window() && arrived_at > burst.began {
+            self.begin_withheld();
+        }
+        self.update_withheld(arrived_at);
+        if let Some(burst) = &mut self.burst {
+            burst.bytes += count;
+        }
+        self.bytes_read += count;
+        let sent_at = match &mut self.withheld {
+            Some(withheld) => {
+                withheld.record_arrival(self.bytes_read, arrived_at);
+                withheld.earliest_sent(self.bytes_read)
+            }
+            None => arrived_at,
+        };
+        self.push(sent_at);
+    }
+
+    /// Records that nothing was left to read at `now`.
+    pub(super) fn record_empty(&mut self, now: Instant) {
+        let burst = self.burst.take();
+        self.empty_at = Some(now);
+        if burst.is_some_and(|burst| burst.may_have_closed_window()) {
+            self.begin_withheld();
+        }
+        if let Some(withheld) = &mut self.withheld {
+            withheld.record_empty(now);
+        }
+    }
+
+    /// Records that the client has received its response. A request that follows was sent
+    /// afterwards, unless it already began to arrive.
+    pub(super) fn end_request(&mut self) {
+        if self.burst.is_none() {
+            self.withheld = None;
+        }
+    }
+
+    /// Returns the earliest time at which the last byte before `end_offset` can have been sent
+    /// (`None`: the last byte that was read). Returns `None` before the first read.
+    pub(super) fn sent_at(&self, end_offset: Option<usize>) -> Option<Instant> {
+        let last = self.sent.back()?;
+        let end_offset = end_offset.unwrap_or(last.end_offset);
+        match &self.withheld {
+            Some(withheld) if end_offset > last.end_offset => {
+                Some(withheld.earliest_sent(end_offset))
+            }
+            _ => {
+                let first = self
+                    .sent
+                    .partition_point(|sent| sent.end_offset < end_offset);
+                Some(self.sent.get(first).map_or(last.at, |sent| sent.at))
+            }
+        }
+    }
+
+    /// Records that the client's kernel may hold bytes that were sent after those read so far.
+    fn begin_withheld(&mut self) {
+        if let (None, Some(last)) = (&self.withheld, self.sent.back()) {
+            self.withheld = Some(WithheldInput::new(last.at));
+        }
+    }
+
+    /// Decides whether the client's kernel may have withheld the bytes that are being read.
+    fn update_withheld(&mut self, arrived_at: Instant) {
+        let Some(withheld) = &mut self.withheld else {
+            return;
+        };
+        let burst = self.burst.as_ref();
+        if burst.is_some_and(Burst::may_have_closed_window) {
+            withheld.record_full();
+        }
+        if withheld.is_flushed(arrived_at) {
+            self.withheld = None;
+        }
+    }
+
+    fn push(&mut self, at: Instant) {
+        if let Some(last) = self.sent.back_mut() {
+            if at < last.at + ARRIVAL_RESOLUTION {
+                last.end_offset = self.bytes_read;
+                return;
+            }
+        }
+        if self.sent.len() == MAX_ARRIVALS {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(Arrival {
+            end_offset: self.bytes_read,
+            at,
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/load-balancer/socket/client_input.rs
+++ b/src/bin/load-balancer/socket/client_input.rs
@@ -1,6 +1,7 @@
-//! The recent input of a client's connection, and when its current request began.
+//! The recent input of a client's connection, when it was sent, and when its current request began.
 
-use std::cell::{Cell, Ref, RefCell};
+use super::arrival::ArrivalEstimator;
+use std::cell::{Cell, Ref, RefCell, RefMut};
 use tokio::time::Instant;
 
 /// Maximum number of recent input bytes that are stored; the head of a request usually fits.
@@ -14,6 +15,7 @@
     records_bytes: bool,
     /// When the first byte of the current request was read; `None` on an idle connection.
     request_started_at: Cell<Option<Instant>>,
+    arrivals: RefCell<ArrivalEstimator>,
 }
 
 impl ClientInput {
@@ -22,6 +24,7 @@
             recent_bytes: RefCell::default(),
             records_bytes,
             request_started_at: Cell::new(None),
+            arrivals: RefCell::default(),
         }
     }
 
@@ -53,6 +56,11 @@
         self.recent_bytes.borrow_mut().clear();
     }
 
+    /// Returns the estimator of when the input was sent.
+    pub(super) fn arrivals(&self) -> RefMut<'_, ArrivalEstimator> {
+        self.arrivals.borrow_mut()
+    }
+
     pub(super) fn request_started_at(&self) -> Option<Instant> {
         self.request_started_at.get()
     }
@@ -60,5 +68,6 @@
     /// Marks the connection as idle: the next byte read belongs to a new request.
     pub(super) fn mark_idle(&self) {
         self.request_started_at.set(None);
+        self.arrivals.borrow_mut().end_request();
     }
 }
--- a/src/bin/load-balancer/socket/closing.rs
+++ b/src/bin/load-balancer/socket/closing.rs
@@ -8,7 +8,7 @@
 use nix::libc::POLLRDHUP;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::SockRef;
-use std::io::{self, Read};
+use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::os::fd::AsFd;
@@ -78,10 +78,8 @@
 
     /// Reads without waiting, even if the event loop has not yet reported the socket as readable.
     fn read_from_kernel(&self, bytes: &mut [u8]) -> io::Result<usize> {
-        match retry_on_interrupt(|| self.0.stream.try_read(bytes)) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                retry_on_interrupt(|| (&*SockRef::from(&self.0.stream)).read(bytes))
-            }
+        match self.try_receive(bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.receive(bytes),
             result => result,
         }
     }
--- a/src/bin/load-balancer/socket/connection.rs
+++ b/src/bin/load-balancer/socket/connection.rs
@@ -3,6 +3,7 @@
 use super::client_input::ClientInput;
 use super::exchange_limits::ExchangeLimits;
 use super::read_ahead::ReadAheadBuffer;
+use super::receive_clock::ReceiveClock;
 use super::system_errors::is_local_error;
 use super::DescriptorPermit;
 use crate::metrics::Metrics;
@@ -30,6 +31,8 @@
     /// Whether a write waits until the kernel accepts more bytes.
     pub(super) is_write_blocked: Cell<bool>,
     pub(super) client_input: ClientInput,
+    /// The clock of the receive timestamps; `None` if the arrival of input is not recorded.
+    pub(super) receive_clock: Option<Rc<ReceiveClock>>,
     pub(super) read_ahead: ReadAheadBuffer,
     pub(super) exchange: ExchangeLimits,
     _permit: DescriptorPermit,
@@ -89,9 +92,28 @@
         }
     }
 
-    /// Wraps an established connection. If `permit` is for a client, the recent input is stored.
+    /// Wraps an established connection.
     #[must_use]
     pub fn new(stream: TcpStream, permit: DescriptorPermit) -> Self {
+        Self::wrap(stream, permit, None)
+    }
+
+    /// Wraps a connection that a client opened to send requests. Its recent input is stored, and
+    /// when the input was sent.
+    #[must_use]
+    pub fn of_client(
+        stream: TcpStream,
+        permit: DescriptorPermit,
+        receive_clock: Rc<ReceiveClock>,
+    ) -> Self {
+        Self::wrap(stream, permit, Some(receive_clock))
+    }
+
+    fn wrap(
+        stream: TcpStream,
+        permit: DescriptorPermit,
+        receive_clock: Option<Rc<ReceiveClock>>,
+    ) -> Self {
         // A failure is harmless: without TCP_NODELAY, small writes are only delayed.
         let _ = stream.set_nodelay(true);
         Socket(Rc::new(Inner {
@@ -99,7 +121,8 @@
             received: TrafficCounter::new(),
             sent: TrafficCounter::new(),
             is_write_blocked: Cell::new(false),
-            client_input: ClientInput::new(permit.is_for_client()),
+            client_input: ClientInput::new(receive_clock.is_some()),
+            receive_clock,
             read_ahead: ReadAheadBuffer::new(permit.read_ahead_usage()),
             exchange: ExchangeLimits::none(),
             _permit: permit,
@@ -217,4 +240,12 @@
             .upgrade()
             .is_none_or(|inner| Socket(inner).is_disconnected())
     }
+
+    /// Returns the earliest time at which the peer can have sent the last byte before `end_offset`
+    /// in its input (`None`: the last byte that was read). Returns `None` if nothing is known.
+    pub(super) fn sent_at(&self, end_offset: Option<usize>) -> Option<Instant> {
+        let inner = self.0.as_ref()?.upgrade()?;
+        let sent_at = inner.client_input.arrivals().sent_at(end_offset);
+        sent_at
+    }
 }
--- a/src/bin/load-balancer/socket/descriptor_budget.rs
+++ b/src/bin/load-balancer/socket/descriptor_budget.rs
@@ -168,11 +168,6 @@
 }
 
 impl DescriptorPermit {
-    /// Returns whether the permit is for a connection that a client opened to send requests.
-    pub(super) fn is_for_client(&self) -> bool {
-        matches!(self.purpose, Purpose::ClientConnection | Purpose::Rejection)
-    }
-
     /// Returns the counter of bytes that all connections under the same budget have read ahead.
     pub(super) fn read_ahead_usage(&self) -> Rc<ReadAheadUsage> {
         self.budget.read_ahead_usage.clone()
--- a/src/bin/load-balancer/socket/io.rs
+++ b/src/bin/load-balancer/socket/io.rs
@@ -70,7 +70,7 @@
         }
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
-            match retry_on_interrupt(|| self.0.stream.try_read(bytes)) {
+            match self.try_receive(bytes) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) if is_resource_exhaustion(&error) => {
                     // The bytes stay in the kernel. Other tasks run before the read is retried.
--- a/src/bin/load-balancer/upstream/request.rs
+++ b/src/bin/load-balancer/upstream/request.rs
@@ -29,11 +29,11 @@
 }
 
 impl ForwardedRequest {
-    /// Returns when the request times out. The deadline moves when the client sends a further part
-    /// of its body.
+    /// Returns when the request times out. The deadline moves when a further part of the body is
+    /// read that the client has sent later.
     #[must_use]
     pub fn deadline(&self) -> Instant {
         self.shutdown_deadline
-            .limit(self.upload.last_progress() + self.timeout)
+            .limit(self.upload.sent_at() + self.timeout)
     }
 }
--- a/tests/faults/faults.c
+++ b/tests/faults/faults.c
@@ -8,6 +8,7 @@
  *              milliseconds instead. Some names select only a part of the calls:
  *                poll                  only with a timeout of 0
  *                write                 only for regular files
+ *                recv                  recv and recvmsg, counted together
  *                socket, connect       only for IPv4
  *                socket_unix, connect_unix
  *                                      these calls, only for Unix sockets
@@ -115,6 +116,15 @@
      (fd, bytes, size), is_regular_file(fd))
 WRAP(int, rename, (const char *from, const char *to), (from, to), 1)
 
+ssize_t recvmsg(int fd, struct msghdr *message, int flags) {
+    static ssize_t (*real)(int, struct msghdr *, int);
+    if (!real)
+        real = (ssize_t (*)(int, struct msghdr *, int))dlsym(RTLD_NEXT, "recvmsg");
+    if (must_fail("recv"))
+        return -1;
+    return real(fd, message, flags);
+}
+
 int connect(int fd, const struct sockaddr *address, socklen_t size) {
     static int (*real)(int, const struct sockaddr *, socklen_t);
     if (!real)
--- /dev/null
+++ b/tests/request_arrival.rs
@@ -0,0 +1,336 @@
+//! The time of a request counts from when its client has sent the last byte, however long the
+//! request then lies unread.
+
+mod support;
+use std::thread::{self, sleep, JoinHandle};
+use std::time::{Duration, Instant};
+use support::*;
+
+/// How long the clients wait for the response.
+const TIMEOUT: Duration = Duration::from_secs(4);
+/// How long a request lies unread.
+const UNREAD: Duration = Duration::from_millis(2500);
+/// A response after this time shows that the request was given more time than its client has left.
+/// The earliest wrong response comes [`UNREAD`] after the timeout.
+const LATEST_RESPONSE: Duration = Duration::from_millis(5250);
+
+const HEADERS: &str = "Request-Id: {id}\r\nRequest-Timeout: 4.0\r\n";
+const CHUNKED_HEADERS: &str =
+    "Request-Id: {id}\r\nRequest-Timeout: 4.0\r\nTransfer-Encoding: chunked\r\n";
+
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    ContentLength,
+    Chunked,
+}
+
+/// Sends a POST request with a body of this many bytes.
+fn post(client: &mut Client, length: usize, framing: Framing) {
+    let body = "x".repeat(length);
+    match framing {
+        Framing::ContentLength => client.send("/pay", HEADERS, &body).unwrap(),
+        Framing::Chunked => {
+            client.send("/pay", CHUNKED_HEADERS, "").unwrap();
+            client.write(&format!("{length:x}\r\n{body}\r\n0\r\n\r\n"));
+        }
+    }
+}
+
+/// A client that waits for a response in a thread. The result is the status, and the time since the
+/// request was sent.
+type WaitingClient = JoinHandle<(u16, Duration)>;
+
+fn wait_for_response(mut client: Client) -> WaitingClient {
+    let sent_at = Instant::now();
+    thread::spawn(move || {
+        let response = client.receive().unwrap().expect("no response");
+        (response.status(), sent_at.elapsed())
+    })
+}
+
+fn assert_answered_in_time(waiting: WaitingClient, description: &str) {
+    let (status, elapsed) = waiting.join().unwrap();
+    assert!(
+        elapsed < LATEST_RESPONSE,
+        "{description}: status {status} after {elapsed:?}"
+    );
+}
+
+/// A program that knows no upstream until [`Self::add_upstreams`] is called, so that requests are
+/// queued.
+struct QueueingProgram {
+    program: Program,
+    upstreams: Vec<StubUpstream>,
+    _discovery: StubDiscovery,
+    watch: StubWatch,
+}
+
+impl QueueingProgram {
+    fn start(memory_mb: usize, response: StubResponse) -> Self {
+        let discovery = StubDiscovery::start();
+        let config = config(&list(5, true, &[]), discovery.address, 256);
+        let limits = "\"limits\":{\"sockets\"";
+        let config = config.replace(
+            limits,
+            &format!("\"limits\":{{\"memory_mb\":{memory_mb},\"sockets\""),
+        );
+        assert!(config.contains("memory_mb"));
+        let program =
+            Program::start_with(&[("PROXY_CONSOLE", "127.0.0.1:0")], &config, "127.0.0.1:0");
+        QueueingProgram {
+            program,
+            upstreams: (0..12).map(|_| StubUpstream::start(response)).collect(),
+            watch: discovery.next(),
+            _discovery: discovery,
+        }
+    }
+
+    fn add_upstreams(&mut self) {
+        let entries: Vec<_> = self
+            .upstreams
+            .iter()
+            .enumerate()
+            .map(|(number, upstream)| {
+                endpoint(&format!("u{number}"), upstream.address, "in_service")
+            })
+            .collect();
+        self.watch.send_line(&list(6, false, &entries));
+    }
+}
+
+/// Guards against requests with a long body that are answered after their time: the rest of a body
+/// was read only by the attempt, and the time was counted from then.
+#[test]
+fn a_queued_request_with_a_body_is_answered_in_time_if_its_upstream_hangs() {
+    let bodies = [
+        (48, 80_000, Framing::ContentLength),
+        (48, 80_000, Framing::Chunked),
+        (48, 200_000, Framing::ContentLength),
+        (48, 1_500_000, Framing::ContentLength),
+        (48, 1_500_000, Framing::Chunked),
+        // With too little memory for reading ahead, a shorter body is streamed too.
+        (1, 60_000, Framing::ContentLength),
+        (1, 60_000, Framing::Chunked),
+        (1, 1_500_000, Framing::ContentLength),
+    ];
+    for memory_mb in [48, 1] {
+        let mut queueing = QueueingProgram::start(memory_mb, StubResponse::NoResponse);
+        let program = &queueing.program;
+        // These use up the memory of a program that has little.
+        let holders: Vec<_> = (0..3).map(|_| program.client()).collect();
+        let _holders: Vec<_> = holders
+            .into_iter()
+            .map(|mut client| {
+                post(&mut client, 64_000, Framing::ContentLength);
+                client
+            })
+            .collect();
+        wait_until("the holders are queued", || {
+            program.metric("in_flight") == 3
+        });
+        let cases = bodies.iter().filter(|(memory, ..)| *memory == memory_mb);
+        let waiting: Vec<_> = cases
+            .map(|(_, length, framing)| {
+                let mut client = program.client();
+                post(&mut client, *length, *framing);
+                (wait_for_response(client), *length, *framing)
+            })
+            .collect();
+        sleep(UNREAD);
+        queueing.add_upstreams();
+        for (waiting, length, framing) in waiting {
+            let description = format!("{memory_mb} MB, {length} bytes, {framing:?}");
+            assert_answered_in_time(waiting, &description);
+        }
+    }
+}
+
+/// Guards against requests that are only refused in time although an upstream can serve them.
+#[test]
+fn a_queued_request_with_a_body_is_served_within_its_time() {
+    for memory_mb in [48, 1] {
+        let mut queueing = QueueingProgram::start(memory_mb, StubResponse::Ok);
+        let waiting: Vec<_> = [60_000, 80_000, 200_000, 1_500_000]
+            .into_iter()
+            .flat_map(|length| [(length, Framing::ContentLength), (length, Framing::Chunked)])
+            .map(|(length, framing)| {
+                let mut client = queueing.program.client();
+                post(&mut client, length, framing);
+                (wait_for_response(client), length, framing)
+            })
+            .collect();
+        sleep(Duration::from_secs(1));
+        queueing.add_upstreams();
+        for (waiting, length, framing) in waiting {
+            let (status, _) = waiting.join().unwrap();
+            assert_eq!(status, 200, "{memory_mb} MB, {length} bytes, {framing:?}");
+        }
+        let mut lengths: Vec<_> = queueing
+            .upstreams
+            .iter()
+            .flat_map(|upstream| upstream.seen.try_iter())
+            .map(|request| request.body.len())
+            .collect();
+        lengths.sort_unstable();
+        assert_eq!(
+            lengths,
+            [60_000, 60_000, 80_000, 80_000, 200_000, 200_000, 1_500_000, 1_500_000]
+        );
+    }
+}
+
+/// Guards against too little time for a request that its client sends as soon as it has received
+/// the response to one that was read late.
+#[test]
+fn the_request_after_one_that_was_queued_has_its_whole_time() {
+    let mut queueing = QueueingProgram::start(48, StubResponse::Ok);
+    let mut client = queueing.program.client();
+    post(&mut client, 200_000, Framing::ContentLength);
+    sleep(UNREAD);
+    queueing.add_upstreams();
+    assert_eq!(
+        client.receive().unwrap().expect("no response").status(),
+        200
+    );
+    let headers = "Request-Id: {id}\r\nRequest-Timeout: 2.0\r\n";
+    assert_eq!(client.request("/read", headers, "").status(), 200);
+}
+
+/// Guards against requests that are answered after their time because the process was not running
+/// when they arrived, and connections that had not been accepted then.
+#[test]
+fn a_request_that_arrives_while_the_process_is_suspended_is_answered_in_time() {
+    let upstreams: Vec<_> = (0..4)
+        .map(|_| StubUpstream::start(StubResponse::NoResponse))
+        .collect();
+    let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let (program, _discovery) = Program::with_upstreams(&addresses);
+    let mut accepted = program.client();
+    assert_eq!(accepted.request("/healthz", "", "").status(), 200);
+    program.suspend();
+    let mut waiting = Vec::new();
+    for length in [0, 5_000, 200_000] {
+        let mut client = program.client();
+        if length == 0 {
+            client.send("/read", HEADERS, "").unwrap();
+        } else {
+            post(&mut client, length, Framing::ContentLength);
+        }
+        waiting.push((wait_for_response(client), length));
+    }
+    post(&mut accepted, 80_000, Framing::Chunked);
+    waiting.push((wait_for_response(accepted), 80_000));
+    sleep(UNREAD);
+    program.resume();
+    for (waiting, length) in waiting {
+        assert_answered_in_time(waiting, &format!("{length} bytes"));
+    }
+}
+
+/// Guards against pipelined requests that are answered after their time: they lie unread while the
+/// previous response is being sent.
+#[test]
+fn a_request_behind_a_long_response_is_answered_in_time() {
+    const RESPONSE_LENGTH: usize = 24 << 20;
+    let response = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {RESPONSE_LENGTH}\r\n\r\n{}",
+        "x".repeat(RESPONSE_LENGTH)
+    );
+    let upstream = StubUpstream::raw(&response);
+    let (program, _discovery) = Program::with_upstreams(&[upstream.address]);
+    let mut client = program.client();
+    client.send("/read", HEADERS, "").unwrap();
+    upstream.next();
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.extend(client.read_byte());
+    }
+    upstream.set_response(StubResponse::NoResponse);
+    post(&mut client, 80_000, Framing::ContentLength);
+    let sent_at = Instant::now();
+    sleep(UNREAD);
+    client.discard(RESPONSE_LENGTH);
+    let response = client.receive().unwrap().expect("no response");
+    let elapsed = sent_at.elapsed();
+    assert!(
+        elapsed < LATEST_RESPONSE,
+        "status {} after {elapsed:?}",
+        response.status()
+    );
+}
+
+/// Sends the body of a request in small parts over this time, and the last byte at its end.
+fn post_slowly(client: &mut Client, sending_time: Duration, framing: Framing) {
+    const PART: &str = "part of a body sent slowly; ";
+    let parts = sending_time.as_millis() as usize / 20;
+    let began = Instant::now();
+    match framing {
+        Framing::ContentLength => {
+            let length = (PART.len() * 30 * parts).to_string();
+            let headers = format!("{HEADERS}Content-Length: {length}\r\n");
+            client.send("/pay", &headers, "").unwrap();
+        }
+        Framing::Chunked => client.send("/pay", CHUNKED_HEADERS, "").unwrap(),
+    }
+    for number in 1..=parts {
+        sleep((sending_time * number as u32 / parts as u32).saturating_sub(began.elapsed()));
+        let part = PART.repeat(30);
+        client.write(&match framing {
+            Framing::ContentLength => part,
+            Framing::Chunked => format!("{:x}\r\n{part}\r\n", part.len()),
+        });
+    }
+    if matches!(framing, Framing::Chunked) {
+        client.write("0\r\n\r\n");
+    }
+}
+
+/// Guards against too little time for a client that sends slowly: the time of its request counts
+/// from the last byte.
+#[test]
+fn a_client_that_sends_slowly_has_its_whole_time_left_at_the_end() {
+    let senders: Vec<_> = [Framing::ContentLength, Framing::Chunked]
+        .into_iter()
+        .map(|framing| {
+            thread::spawn(move || {
+                let upstream = StubUpstream::start(StubResponse::Hold);
+                let (program, _discovery) = Program::with_upstreams(&[upstream.address]);
+                let mut client = program.client();
+                post_slowly(&mut client, Duration::from_secs(5), framing);
+                upstream.next();
+                sleep(TIMEOUT / 2);
+                upstream.release();
+                let status = client.receive().unwrap().expect("no response").status();
+                assert_eq!(status, 200, "{framing:?}");
+            })
+        })
+        .collect();
+    for sender in senders {
+        sender.join().unwrap();
+    }
+}
+
+/// Guards against too little time for a client that was still sending while its request was queued,
+/// when nothing read what it sent.
+#[test]
+fn a_client_that_sends_slowly_to_a_queue_has_its_whole_time_left_at_the_end() {
+    for framing in [Framing::ContentLength, Framing::Chunked] {
+        let mut queueing = QueueingProgram::start(1, StubResponse::Hold);
+        let mut client = queueing.program.client();
+        let sender = thread::spawn(move || {
+            post_slowly(&mut client, Duration::from_millis(3500), framing);
+            client
+        });
+        // Most of the body arrives while the request is queued.
+        sleep(Duration::from_secs(3));
+        queueing.add_upstreams();
+        let mut client = sender.join().unwrap();
+        // From the time at which the request was queued, less than this would be left.
+        sleep(TIMEOUT * 2 / 3);
+        for upstream in &queueing.upstreams {
+            upstream.release();
+        }
+        let status = client.receive().unwrap().expect("no response").status();
+        assert_eq!(status, 200, "{framing:?}");
+    }
+}
