Test that a request read after its time is rejected without an attempt

The dispatcher reports such a request with no time left, and the decision module has always rejected that at once. On the request counted as new when it was read: the test in tests/request_arrival.rs fails there (200 instead of 503, as the request was sent). The test of the decision module passes before and after.

--- a/tests/decision/queues.rs
+++ b/tests/decision/queues.rs
@@ -53,6 +53,19 @@
     );
 }
 
+/// Guards against requests that fail although they never ran: they may have been read so late that
+/// no time is left.
+#[test]
+fn a_request_without_time_left_is_rejected_at_once() {
+    for idempotency in [Idempotency::Idempotent, Idempotency::NonIdempotent] {
+        let mut harness = Harness::with_classes(&[idempotency], 1);
+        let actions = harness.handle(request(1, 0, 0.0));
+        assert!(is_rejected(&actions, 1), "{actions:?}");
+        assert!(started_attempts(&actions).is_empty(), "{actions:?}");
+        assert_eq!(harness.open_and_in_flight(), (0, 0));
+    }
+}
+
 #[test]
 fn full_queue_rejects() {
     let mut harness = Harness::with_classes(&[Idempotency::Idempotent], 1);
--- a/tests/request_arrival.rs
+++ b/tests/request_arrival.rs
@@ -227,6 +227,27 @@
     }
 }
 
+/// Guards against requests that run although their clients no longer wait, or that fail although
+/// they never ran.
+#[test]
+fn a_request_that_is_read_after_its_time_is_rejected_without_an_attempt() {
+    let upstream = StubUpstream::start(StubResponse::Ok);
+    let (program, _discovery) = Program::with_admin(&[upstream.address]);
+    program.suspend();
+    let mut clients = [program.client(), program.client()];
+    let headers = "Request-Id: {id}\r\nRequest-Timeout: 1.0\r\n";
+    clients[0].send("/read", headers, "").unwrap();
+    clients[1].send("/pay", headers, "coins").unwrap();
+    sleep(Duration::from_secs(2));
+    program.resume();
+    for client in &mut clients {
+        let response = client.receive().unwrap().expect("no response");
+        assert_eq!(response.status(), 503);
+    }
+    assert_eq!(program.metric("attempts"), 0);
+    assert_eq!(upstream.seen.try_iter().count(), 0);
+}
+
 /// Guards against pipelined requests that are answered after their time: they lie unread while the
 /// previous response is being sent.
 #[test]
