--- a/tests/read_ahead_memory.rs
+++ b/tests/read_ahead_memory.rs
@@ -24,9 +24,7 @@
     let discovery = StubDiscovery::start();
     let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
     let config = with_long_timeouts(&config_with_upstreams(&addresses, discovery.address, 256));
-    let limits = "\"limits\":{\"sockets\"";
-    let config = config.replace(limits, "\"limits\":{\"memory_mb\":1,\"sockets\"");
-    assert!(config.contains("memory_mb"));
+    let config = with_memory_mb(&config, 1);
     let variables = [("PROXY_CONSOLE", "127.0.0.1:0")];
     (
         Program::start_with(&variables, &config, "127.0.0.1:0"),
--- a/tests/request_arrival.rs
+++ b/tests/request_arrival.rs
@@ -69,12 +69,7 @@
     fn start(memory_mb: usize, response: StubResponse) -> Self {
         let discovery = StubDiscovery::start();
         let config = config(&list(5, true, &[]), discovery.address, 256);
-        let limits = "\"limits\":{\"sockets\"";
-        let config = config.replace(
-            limits,
-            &format!("\"limits\":{{\"memory_mb\":{memory_mb},\"sockets\""),
-        );
-        assert!(config.contains("memory_mb"));
+        let config = with_memory_mb(&config, memory_mb);
         let program =
             Program::start_with(&[("PROXY_CONSOLE", "127.0.0.1:0")], &config, "127.0.0.1:0");
         QueueingProgram {
--- a/tests/support/config.rs
+++ b/tests/support/config.rs
@@ -54,6 +54,14 @@
     config(&list(5, true, &entries), discovery, max_descriptors)
 }
 
+/// Returns the configuration with this `memory_mb`.
+pub fn with_memory_mb(config: &str, memory_mb: usize) -> String {
+    let limits = format!("\"limits\":{{\"memory_mb\":{memory_mb},\"sockets\"");
+    let config = config.replace("\"limits\":{\"sockets\"", &limits);
+    assert!(config.contains("memory_mb"));
+    config
+}
+
 /// Returns the configuration with deadlines and a connect timeout that no test reaches.
 pub fn with_long_timeouts(config: &str) -> String {
     config
