Count unread input from the previous read where the kernel records no arrival

Cause: without a timestamp the time of the read was taken for that of the arrival.

Change: a read without a timestamp counts as of the previous read or check, unless input was awaited, so that it was read as soon as it arrived.

--- a/src/bin/load-balancer/socket/arrival/tests.rs
+++ b/src/bin/load-balancer/socket/arrival/tests.rs
@@ -27,7 +27,15 @@
     /// from the opening of the connection.
     fn read(&mut self, count: usize, arrived_at: Duration, now: Duration) {
         let (arrived_at, now) = (self.opened + arrived_at, self.opened + now);
-        self.estimator.record_read(count, arrived_at, now);
+        self.estimator.record_read(count, Some(arrived_at), now);
+    }
+
+    /// Reads `total` bytes whose arrival the kernel has not recorded.
+    fn read_all_without_timestamp(&mut self, total: usize, now: Duration) {
+        for _ in 0..total / FULL_READ {
+            let now = self.opened + now;
+            self.estimator.record_read(FULL_READ, None, now);
+        }
     }
 
     /// Reads `total` bytes that arrived at `arrived_at`, without emptying the receive buffer.
@@ -171,6 +179,43 @@
     assert_eq!(connection.sent_at(None), 3 * SECOND + MS);
 }
 
+#[test]
+fn awaited_input_without_a_timestamp_was_sent_when_it_was_read() {
+    let mut connection = Fixture::new();
+    for second in 1..10 {
+        let now = second * SECOND;
+        connection.estimator.record_awaited();
+        connection.read_all_without_timestamp(16 * KIB, now);
+        connection.find_empty(now);
+        assert_eq!(connection.sent_at(None), now);
+    }
+}
+
+/// Guards against more time for a request whose body lay unread, where the kernel records no
+/// arrivals.
+#[test]
+fn input_without_a_timestamp_may_have_been_sent_since_the_previous_read() {
+    let mut connection = Fixture::new();
+    connection.read_all_without_timestamp(64 * KIB, SECOND);
+    connection.find_empty(SECOND);
+    connection.read_all_without_timestamp(64 * KIB, 3 * SECOND);
+    connection.find_empty(3 * SECOND);
+    connection.estimator.record_awaited();
+    connection.read_all_without_timestamp(64 * KIB, 3 * SECOND + MS);
+    assert_eq!(connection.sent_at(None), SECOND);
+}
+
+#[test]
+fn input_without_a_timestamp_was_sent_after_reading_stopped() {
+    let mut connection = Fixture::new();
+    connection.estimator.record_awaited();
+    connection
+        .estimator
+        .record_reading_stopped(connection.opened + 2 * SECOND);
+    connection.read_all_without_timestamp(FULL_READ, 3 * SECOND);
+    assert_eq!(connection.sent_at(None), 2 * SECOND);
+}
+
 #[test]
 fn the_memory_for_arrivals_is_bounded() {
     let mut connection = Fixture::new();
--- a/src/bin/load-balancer/socket/closing.rs
+++ b/src/bin/load-balancer/socket/closing.rs
@@ -67,10 +67,11 @@
                     self.0.received.record_progress();
                     self.0.read_ahead.append(&bytes[..count]);
                 }
-                Err(error) => {
-                    return error.kind() != io::ErrorKind::WouldBlock
-                        && !is_resource_exhaustion(&error);
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.0.client_input.arrivals().record_awaited();
+                    return false;
                 }
+                Err(error) => return !is_resource_exhaustion(&error),
             }
         }
         false
--- a/src/bin/load-balancer/socket/io.rs
+++ b/src/bin/load-balancer/socket/io.rs
@@ -69,7 +69,11 @@
             return Poll::Ready(Ok(count));
         }
         loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
+            let readable = self.0.stream.poll_read_ready(cx);
+            if readable.is_pending() {
+                self.0.client_input.arrivals().record_awaited();
+            }
+            ready!(readable)?;
             match self.try_receive(bytes) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) if is_resource_exhaustion(&error) => {
--- a/src/bin/load-balancer/socket/receive.rs
+++ b/src/bin/load-balancer/socket/receive.rs
@@ -54,9 +54,8 @@
         match &result {
             Ok(input) if input.count > 0 => {
                 let now = ClockReading::now();
-                let arrived_at = input.timestamp.and_then(|time| clock.monotonic(time, now));
-                let arrived_at = arrived_at.unwrap_or(now.monotonic);
-                arrivals.record_read(input.count, arrived_at, now.monotonic);
+                let timestamp = input.timestamp.and_then(|time| clock.monotonic(time, now));
+                arrivals.record_read(input.count, timestamp, now.monotonic);
                 if input.count < bytes.len() {
                     arrivals.record_empty(now.monotonic);
                 }
--- a/tests/faults/faults.c
+++ b/tests/faults/faults.c
@@ -9,6 +9,7 @@
  *                poll                  only with a timeout of 0
  *                write                 only for regular files
  *                recv                  recv and recvmsg, counted together
+ *                setsockopt_timestamps only for SO_TIMESTAMPNS
  *                socket, connect       only for IPv4
  *                socket_unix, connect_unix
  *                                      these calls, only for Unix sockets
@@ -99,8 +100,6 @@
      (domain, type, protocol, pair), 1)
 WRAP(int, listen, (int fd, int backlog), (fd, backlog), 1)
 WRAP(int, getsockname, (int fd, struct sockaddr *address, socklen_t *size), (fd, address, size), 1)
-WRAP(int, setsockopt, (int fd, int level, int name, const void *value, socklen_t size),
-     (fd, level, name, value, size), 1)
 WRAP(int, epoll_create1, (int flags), (flags), 1)
 WRAP(int, eventfd, (unsigned int value, int flags), (value, flags), 1)
 WRAP(int, bind, (int fd, const struct sockaddr *address, socklen_t size), (fd, address, size), 1)
@@ -116,6 +115,17 @@
      (fd, bytes, size), is_regular_file(fd))
 WRAP(int, rename, (const char *from, const char *to), (from, to), 1)
 
+int setsockopt(int fd, int level, int name, const void *value, socklen_t size) {
+    static int (*real)(int, int, int, const void *, socklen_t);
+    if (!real)
+        real = (int (*)(int, int, int, const void *, socklen_t))dlsym(RTLD_NEXT, "setsockopt");
+    if (must_fail("setsockopt"))
+        return -1;
+    if (level == SOL_SOCKET && name == SO_TIMESTAMPNS && must_fail("setsockopt_timestamps"))
+        return -1;
+    return real(fd, level, name, value, size);
+}
+
 ssize_t recvmsg(int fd, struct msghdr *message, int flags) {
     static ssize_t (*real)(int, struct msghdr *, int);
     if (!real)
--- a/tests/request_arrival.rs
+++ b/tests/request_arrival.rs
@@ -18,6 +18,27 @@
 const CHUNKED_HEADERS: &str =
     "Request-Id: {id}\r\nRequest-Timeout: 4.0\r\nTransfer-Encoding: chunked\r\n";
 
+/// Whether the kernel records when input arrives.
+#[derive(Clone, Copy, Debug)]
+enum Timestamps {
+    Recorded,
+    NotRecorded,
+}
+
+impl Timestamps {
+    /// Returns the environment variables of a program with these timestamps.
+    fn variables(self) -> Vec<(&'static str, &'static str)> {
+        match self {
+            Timestamps::Recorded => vec![],
+            // The call that enables them fails with ENOPROTOOPT.
+            Timestamps::NotRecorded => vec![
+                ("LD_PRELOAD", fault_injection_library()),
+                ("FAULTS", "setsockopt_timestamps:92:1:1:100"),
+            ],
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Framing {
     ContentLength,
@@ -66,12 +87,13 @@
 }
 
 impl QueueingProgram {
-    fn start(memory_mb: usize, response: StubResponse) -> Self {
+    fn start(memory_mb: usize, response: StubResponse, timestamps: Timestamps) -> Self {
         let discovery = StubDiscovery::start();
         let config = config(&list(5, true, &[]), discovery.address, 256);
         let config = with_memory_mb(&config, memory_mb);
-        let program =
-            Program::start_with(&[("PROXY_CONSOLE", "127.0.0.1:0")], &config, "127.0.0.1:0");
+        let mut variables = timestamps.variables();
+        variables.push(("PROXY_CONSOLE", "127.0.0.1:0"));
+        let program = Program::start_with(&variables, &config, "127.0.0.1:0");
         QueueingProgram {
             program,
             upstreams: (0..12).map(|_| StubUpstream::start(response)).collect(),
@@ -93,58 +115,85 @@
     }
 }
 
+/// Queues requests with these bodies until only hanging upstreams are available, and checks that
+/// each is answered in time.
+fn check_queued_requests(mut queueing: QueueingProgram, bodies: &[(usize, Framing)]) {
+    let waiting: Vec<_> = bodies
+        .iter()
+        .map(|(length, framing)| {
+            let mut client = queueing.program.client();
+            post(&mut client, *length, *framing);
+            wait_for_response(client)
+        })
+        .collect();
+    sleep(UNREAD);
+    queueing.add_upstreams();
+    for (waiting, body) in waiting.into_iter().zip(bodies) {
+        assert_answered_in_time(waiting, &format!("{body:?}"));
+    }
+}
+
+const LONG_BODIES: [(usize, Framing); 6] = [
+    (80_000, Framing::ContentLength),
+    (80_000, Framing::Chunked),
+    (200_000, Framing::ContentLength),
+    (200_000, Framing::Chunked),
+    (1_500_000, Framing::ContentLength),
+    (1_500_000, Framing::Chunked),
+];
+
 /// Guards against requests with a long body that are answered after their time: the rest of a body
 /// was read only by the attempt, and the time was counted from then.
 #[test]
 fn a_queued_request_with_a_body_is_answered_in_time_if_its_upstream_hangs() {
-    let bodies = [
-        (48, 80_000, Framing::ContentLength),
-        (48, 80_000, Framing::Chunked),
-        (48, 200_000, Framing::ContentLength),
-        (48, 1_500_000, Framing::ContentLength),
-        (48, 1_500_000, Framing::Chunked),
-        // With too little memory for reading ahead, a shorter body is streamed too.
-        (1, 60_000, Framing::ContentLength),
-        (1, 60_000, Framing::Chunked),
-        (1, 1_500_000, Framing::ContentLength),
-    ];
-    for memory_mb in [48, 1] {
-        let mut queueing = QueueingProgram::start(memory_mb, StubResponse::NoResponse);
-        let program = &queueing.program;
-        // These use up the memory of a program that has little.
-        let holders: Vec<_> = (0..3).map(|_| program.client()).collect();
-        let _holders: Vec<_> = holders
-            .into_iter()
-            .map(|mut client| {
-                post(&mut client, 64_000, Framing::ContentLength);
-                client
-            })
-            .collect();
-        wait_until("the holders are queued", || {
-            program.metric("in_flight") == 3
-        });
-        let cases = bodies.iter().filter(|(memory, ..)| *memory == memory_mb);
-        let waiting: Vec<_> = cases
-            .map(|(_, length, framing)| {
-                let mut client = program.client();
-                post(&mut client, *length, *framing);
-                (wait_for_response(client), *length, *framing)
-            })
-            .collect();
-        sleep(UNREAD);
-        queueing.add_upstreams();
-        for (waiting, length, framing) in waiting {
-            let description = format!("{memory_mb} MB, {length} bytes, {framing:?}");
-            assert_answered_in_time(waiting, &description);
-        }
+    let queueing = QueueingProgram::start(48, StubResponse::NoResponse, Timestamps::Recorded);
+    check_queued_requests(queueing, &LONG_BODIES);
+}
+
+/// Bodies that are streamed while the memory for reading ahead is used up.
+const BODIES_BEYOND_MEMORY: [(usize, Framing); 4] = [
+    (20_000, Framing::ContentLength),
+    (60_000, Framing::ContentLength),
+    (60_000, Framing::Chunked),
+    (1_500_000, Framing::ContentLength),
+];
+
+/// Sends requests that use up the memory of a program with a `memory_mb` of 1, and returns their
+/// clients.
+fn use_up_memory(program: &Program) -> Vec<Client> {
+    let mut holders: Vec<_> = (0..3).map(|_| program.client()).collect();
+    for holder in &mut holders {
+        post(holder, 64_000, Framing::ContentLength);
     }
+    wait_until("the holders are queued", || {
+        program.metric("in_flight") == 3
+    });
+    holders
+}
+
+/// Guards against the same for shorter bodies, which are streamed too while the memory for reading
+/// ahead is used up.
+#[test]
+fn a_queued_request_is_answered_in_time_with_little_memory() {
+    let queueing = QueueingProgram::start(1, StubResponse::NoResponse, Timestamps::Recorded);
+    let _holders = use_up_memory(&queueing.program);
+    check_queued_requests(queueing, &BODIES_BEYOND_MEMORY);
+}
+
+/// Guards against the same where the kernel records no arrivals.
+#[test]
+fn a_queued_request_is_answered_in_time_without_receive_timestamps() {
+    let queueing = QueueingProgram::start(1, StubResponse::NoResponse, Timestamps::NotRecorded);
+    let _holders = use_up_memory(&queueing.program);
+    check_queued_requests(queueing, &BODIES_BEYOND_MEMORY);
 }
 
 /// Guards against requests that are only refused in time although an upstream can serve them.
 #[test]
 fn a_queued_request_with_a_body_is_served_within_its_time() {
     for memory_mb in [48, 1] {
-        let mut queueing = QueueingProgram::start(memory_mb, StubResponse::Ok);
+        let mut queueing =
+            QueueingProgram::start(memory_mb, StubResponse::Ok, Timestamps::Recorded);
         let waiting: Vec<_> = [60_000, 80_000, 200_000, 1_500_000]
             .into_iter()
             .flat_map(|length| [(length, Framing::ContentLength), (length, Framing::Chunked)])
@@ -178,17 +227,17 @@
 /// the response to one that was read late.
 #[test]
 fn the_request_after_one_that_was_queued_has_its_whole_time() {
-    let mut queueing = QueueingProgram::start(48, StubResponse::Ok);
-    let mut client = queueing.program.client();
-    post(&mut client, 200_000, Framing::ContentLength);
-    sleep(UNREAD);
-    queueing.add_upstreams();
-    assert_eq!(
-        client.receive().unwrap().expect("no response").status(),
-        200
-    );
-    let headers = "Request-Id: {id}\r\nRequest-Timeout: 2.0\r\n";
-    assert_eq!(client.request("/read", headers, "").status(), 200);
+    for timestamps in [Timestamps::Recorded, Timestamps::NotRecorded] {
+        let mut queueing = QueueingProgram::start(48, StubResponse::Ok, timestamps);
+        let mut client = queueing.program.client();
+        post(&mut client, 200_000, Framing::ContentLength);
+        sleep(UNREAD);
+        queueing.add_upstreams();
+        let response = client.receive().unwrap().expect("no response");
+        assert_eq!(response.status(), 200);
+        let headers = "Request-Id: {id}\r\nRequest-Timeout: 2.0\r\n";
+        assert_eq!(client.request("/read", headers, "").status(), 200);
+    }
 }
 
 /// Guards against requests that are answered after their time because the process was not running
@@ -305,22 +354,27 @@
 /// from the last byte.
 #[test]
 fn a_client_that_sends_slowly_has_its_whole_time_left_at_the_end() {
-    let senders: Vec<_> = [Framing::ContentLength, Framing::Chunked]
-        .into_iter()
-        .map(|framing| {
-            thread::spawn(move || {
-                let upstream = StubUpstream::start(StubResponse::Hold);
-                let (program, _discovery) = Program::with_upstreams(&[upstream.address]);
-                let mut client = program.client();
-                post_slowly(&mut client, Duration::from_secs(5), framing);
-                upstream.next();
-                sleep(TIMEOUT / 2);
-                upstream.release();
-                let status = client.receive().unwrap().expect("no response").status();
-                assert_eq!(status, 200, "{framing:?}");
-            })
+    let clients = [
+        (Timestamps::Recorded, Framing::ContentLength),
+        (Timestamps::Recorded, Framing::Chunked),
+        (Timestamps::NotRecorded, Framing::ContentLength),
+        (Timestamps::NotRecorded, Framing::Chunked),
+    ];
+    let senders = clients.map(|(timestamps, framing)| {
+        thread::spawn(move || {
+            let upstream = StubUpstream::start(StubResponse::Hold);
+            let discovery = StubDiscovery::start();
+            let config = config_with_upstreams(&[upstream.address], discovery.address, 256);
+            let program = Program::start_with(&timestamps.variables(), &config, "127.0.0.1:0");
+            let mut client = program.client();
+            post_slowly(&mut client, Duration::from_secs(5), framing);
+            upstream.next();
+            sleep(TIMEOUT / 2);
+            upstream.release();
+            let status = client.receive().unwrap().expect("no response").status();
+            assert_eq!(status, 200, "{framing:?}, timestamps {timestamps:?}");
         })
-        .collect();
+    });
     for sender in senders {
         sender.join().unwrap();
     }
@@ -331,7 +385,7 @@
 #[test]
 fn a_client_that_sends_slowly_to_a_queue_has_its_whole_time_left_at_the_end() {
     for framing in [Framing::ContentLength, Framing::Chunked] {
-        let mut queueing = QueueingProgram::start(1, StubResponse::Hold);
+        let mut queueing = QueueingProgram::start(1, StubResponse::Hold, Timestamps::Recorded);
         let mut client = queueing.program.client();
         let sender = thread::spawn(move || {
             post_slowly(&mut client, Duration::from_millis(3500), framing);
