Take no later time for a single missing receive timestamp

Cause: where the wall clock seems to have been stepped, a timestamp can't be converted. The time of the read was then taken for the arrival of that part of a long body, from which the earliest time of the body's end is derived.

Change: on a connection that has had timestamps, a missing one counts as the previous one, or as the time since when the input may have been unread.

Result: a_missing_timestamp_in_a_long_body_gives_no_more_time fails without this change (3 s instead of 1 s) and passes with it.

--- a/src/bin/load-balancer/socket/arrival/mod.rs
+++ b/src/bin/load-balancer/socket/arrival/mod.rs
@@ -54,6 +54,8 @@
     empty_at: Option<Instant>,
     /// When the connection was last read; `None` before the first read.
     checked_at: Option<Instant>,
+    /// The latest timestamp; `None` if there has been none.
+    last_timestamp: Option<Instant>,
     /// Whether input will be read as soon as it arrives.
     is_awaited: bool,
     /// Set while the client's kernel may hold bytes for which the receive window was closed.
@@ -85,9 +87,13 @@
         self.bytes_read += count;
         self.checked_at = Some(now);
         self.is_awaited = false;
+        // A single missing timestamp must not be replaced by a later time.
+        let without_timestamp = self.last_timestamp.map_or(now, |last| last.max(arrived_at));
+        self.last_timestamp = timestamp.or(self.last_timestamp);
         let sent_at = match &mut self.withheld {
             Some(withheld) => {
-                withheld.record_arrival(self.bytes_read, timestamp.unwrap_or(now));
+                let arrived_at = timestamp.unwrap_or(without_timestamp);
+                withheld.record_arrival(self.bytes_read, arrived_at);
                 withheld.earliest_sent(self.bytes_read)
             }
             None => arrived_at,
--- a/src/bin/load-balancer/socket/arrival/tests.rs
+++ b/src/bin/load-balancer/socket/arrival/tests.rs
@@ -205,6 +205,18 @@
     assert_eq!(connection.sent_at(None), SECOND);
 }
 
+/// Guards against more time for a request because the wall clock was stepped while its long body
+/// lay unread, so that some timestamps can't be used.
+#[test]
+fn a_missing_timestamp_in_a_long_body_gives_no_more_time() {
+    let mut connection = Fixture::new();
+    let length = 6 * MIB;
+    connection.read_all(MIB, SECOND, SECOND);
+    connection.read_all_without_timestamp(MIB, 3 * SECOND);
+    connection.read_all(4 * MIB, 4 * SECOND, 5 * SECOND);
+    assert_eq!(connection.sent_at(Some(length)), SECOND);
+}
+
 #[test]
 fn input_without_a_timestamp_was_sent_after_reading_stopped() {
     let mut connection = Fixture::new();
