--- a/src/bin/load-balancer/socket/arrival/mod.rs
+++ b/src/bin/load-balancer/socket/arrival/mod.rs
@@ -4,8 +4,7 @@
 //! kernel records when they arrived there. Once the buffer is full, the receive window is closed
 //! and the client's kernel stores what the client sends: these bytes arrive only when the window
 //! opens again. When the client sent them is not known then, and the earliest possible time is
-//! taken. The same holds for bytes without a timestamp that arrived while nothing read the
-//! connection. A request is thus never given more time than its client has left.
+//! taken. A request is thus never given more time than its client has left.
 
 mod withheld_input;
 
@@ -32,8 +31,6 @@
 #[derive(Debug)]
 struct Burst {
     began: Instant,
-    /// When the first bytes arrived at the earliest, as far as known without timestamps.
-    unread_since: Instant,
     bytes: usize,
 }
 
@@ -52,12 +49,8 @@
     burst: Option<Burst>,
     /// When the receive buffer was last found to be empty.
     empty_at: Option<Instant>,
-    /// When the connection was last read; `None` before the first read.
-    checked_at: Option<Instant>,
     /// The latest timestamp; `None` if there has been none.
     last_timestamp: Option<Instant>,
-    /// Whether input will be read as soon as it arrives.
-    is_awaited: bool,
     /// Set while the client's kernel may hold bytes for which the receive window was closed.
     withheld: Option<WithheldInput>,
     /// Estimates for the latest bytes, in ascending order.
@@ -68,16 +61,12 @@
     /// Records that `count` bytes were read at `now`, the last of which arrived at `timestamp`
     /// (`None`: unknown).
     pub(super) fn record_read(&mut self, count: usize, timestamp: Option<Instant>, now: Instant) {
-        let timestamp = timestamp.map(|time| self.empty_at.map_or(time, |empty| time.max(empty)));
-        let unread_since = self.unread_since(now);
+        let arrived_at = self.arrived_at(timestamp, now);
         let burst = self.burst.get_or_insert(Burst {
             began: now,
-            unread_since,
             bytes: 0,
         });
-        let arrived_at = timestamp.unwrap_or(burst.unread_since);
-        let arrived_during_burst = timestamp.is_none_or(|time| time > burst.began);
-        if burst.may_have_closed_window() && arrived_during_burst {
+        if burst.may_have_closed_window() && arrived_at > burst.began {
             self.begin_withheld();
         }
         self.update_withheld(arrived_at);
@@ -85,14 +74,8 @@
             burst.bytes += count;
         }
         self.bytes_read += count;
-        self.checked_at = Some(now);
-        self.is_awaited = false;
-        // A single missing timestamp must not be replaced by a later time.
-        let without_timestamp = self.last_timestamp.map_or(now, |last| last.max(arrived_at));
-        self.last_timestamp = timestamp.or(self.last_timestamp);
         let sent_at = match &mut self.withheld {
             Some(withheld) => {
-                let arrived_at = timestamp.unwrap_or(without_timestamp);
                 withheld.record_arrival(self.bytes_read, arrived_at);
                 withheld.earliest_sent(self.bytes_read)
             }
@@ -101,33 +84,19 @@
         self.push(sent_at);
     }
 
-    /// Records that nothing reads the connection until the next read, and that nothing is unread
-    /// at `now` if input was awaited before.
-    pub(super) fn record_reading_stopped(&mut self, now: Instant) {
-        if self.is_awaited {
-            self.checked_at = Some(now);
-            self.is_awaited = false;
-        }
-    }
-
-    /// Records that input will be read as soon as it arrives.
-    pub(super) fn record_awaited(&mut self) {
-        self.is_awaited = true;
-    }
-
-    /// Returns since when bytes that are read at `now` may have been unread.
-    fn unread_since(&self, now: Instant) -> Instant {
-        match self.checked_at {
-            Some(checked_at) if !self.is_awaited => checked_at,
-            _ => now,
-        }
+    /// Returns when input that is read at `now` arrived. Within a burst, a missing timestamp counts
+    /// as the previous one; without any, the input counts as read at once.
+    fn arrived_at(&mut self, timestamp: Option<Instant>, now: Instant) -> Instant {
+        let timestamp = timestamp.map(|time| self.empty_at.map_or(time, |empty| time.max(empty)));
+        let known = timestamp.or(self.last_timestamp.filter(|_| self.burst.is_some()));
+        self.last_timestamp = timestamp.or(self.last_timestamp);
+        known.unwrap_or(now)
     }
 
     /// Records that nothing was left to read at `now`.
     pub(super) fn record_empty(&mut self, now: Instant) {
         let burst = self.burst.take();
         self.empty_at = Some(now);
-        self.checked_at = Some(now);
         if burst.is_some_and(|burst| burst.may_have_closed_window()) {
             self.begin_withheld();
         }
--- a/src/bin/load-balancer/socket/closing.rs
+++ b/src/bin/load-balancer/socket/closing.rs
@@ -67,11 +67,10 @@
                     self.0.received.record_progress();
                     self.0.read_ahead.append(&bytes[..count]);
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.0.client_input.arrivals().record_awaited();
-                    return false;
+                Err(error) => {
+                    return error.kind() != io::ErrorKind::WouldBlock
+                        && !is_resource_exhaustion(&error);
                 }
-                Err(error) => return !is_resource_exhaustion(&error),
             }
         }
         false
--- a/src/bin/load-balancer/socket/connection.rs
+++ b/src/bin/load-balancer/socket/connection.rs
@@ -211,12 +211,8 @@
     }
 
     /// Enables or disables reading ahead in [`Self::is_disconnected`]. Enable it only while nothing
-    /// else reads from the connection, and call that regularly then.
+    /// else reads from the connection.
     pub fn set_read_ahead(&self, enabled: bool) {
-        if !enabled {
-            let mut arrivals = self.0.client_input.arrivals();
-            arrivals.record_reading_stopped(Instant::now());
-        }
         self.0.read_ahead.set_enabled(enabled);
     }
 
--- a/src/bin/load-balancer/socket/io.rs
+++ b/src/bin/load-balancer/socket/io.rs
@@ -69,11 +69,7 @@
             return Poll::Ready(Ok(count));
         }
         loop {
-            let readable = self.0.stream.poll_read_ready(cx);
-            if readable.is_pending() {
-                self.0.client_input.arrivals().record_awaited();
-            }
-            ready!(readable)?;
+            ready!(self.0.stream.poll_read_ready(cx))?;
             match self.try_receive(bytes) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) if is_resource_exhaustion(&error) => {
