--- a/src/bin/load-balancer/socket/arrival/mod.rs
+++ b/src/bin/load-balancer/socket/arrival/mod.rs
@@ -4,7 +4,7 @@
 //! kernel records when they arrived there. Once the buffer is full, the receive window is closed
 //! and the client's kernel stores what the client sends: these bytes arrive only when the window
 //! opens again. When the client sent them is not known then, and the earliest possible time is
-//! taken. A request is thus never given more time than its client has left.
+//! taken. Where the kernel records no arrivals, bytes count as sent when they are read.
 
 mod withheld_input;
 
