Look up the burst of a read once, and record a request's arrival once

record_read fetched the burst three times, and RequestArrival recorded its progress when it was created and again when its body was.

--- a/src/bin/load-balancer/socket/arrival/mod.rs
+++ b/src/bin/load-balancer/socket/arrival/mod.rs
@@ -66,14 +66,14 @@
             began: now,
             bytes: 0,
         });
-        if burst.may_have_closed_window() && arrived_at > burst.began {
+        let may_have_closed_window = burst.may_have_closed_window();
+        let arrived_during_burst = arrived_at > burst.began;
+        burst.bytes += count;
+        self.bytes_read += count;
+        if may_have_closed_window && arrived_during_burst {
             self.begin_withheld();
         }
-        self.update_withheld(arrived_at);
-        if let Some(burst) = &mut self.burst {
-            burst.bytes += count;
-        }
-        self.bytes_read += count;
+        self.update_withheld(may_have_closed_window, arrived_at);
         let sent_at = match &mut self.withheld {
             Some(withheld) => {
                 withheld.record_arrival(self.bytes_read, arrived_at);
@@ -139,12 +139,11 @@
     }
 
     /// Decides whether the client's kernel may have withheld the bytes that are being read.
-    fn update_withheld(&mut self, arrived_at: Instant) {
+    fn update_withheld(&mut self, may_have_closed_window: bool, arrived_at: Instant) {
         let Some(withheld) = &mut self.withheld else {
             return;
         };
-        let burst = self.burst.as_ref();
-        if burst.is_some_and(Burst::may_have_closed_window) {
+        if may_have_closed_window {
             withheld.record_full();
         }
         if withheld.is_flushed(arrived_at) {
--- a/src/bin/load-balancer/socket/request_arrival.rs
+++ b/src/bin/load-balancer/socket/request_arrival.rs
@@ -18,13 +18,11 @@
     /// Tracks the request that is being read from `client` and ends at `end_offset`, if known.
     #[must_use]
     pub fn new(client: PeerHandle, end_offset: Option<usize>) -> Self {
-        let arrival = RequestArrival {
+        RequestArrival {
             client,
             end_offset,
             sent_at: Cell::new(Instant::now()),
-        };
-        arrival.record_progress();
-        arrival
+        }
     }
 
     /// Records that more of the request, or its end, has been read.
@@ -35,6 +33,7 @@
     }
 
     /// Returns when the client sent the last byte that was read, as of the last recorded progress.
+    /// Before the first one, returns when the request began to be tracked.
     #[must_use]
     pub fn sent_at(&self) -> Instant {
         self.sent_at.get()
