Unit tests share one request without a client; recvmsg faults use the macro

Two unit tests built the same ForwardedRequest, and the wrapper of recvmsg repeated the macro of the other calls. No test or assertion is changed.

--- a/src/bin/load-balancer/dispatch/request_table/tests.rs
+++ b/src/bin/load-balancer/dispatch/request_table/tests.rs
@@ -1,9 +1,6 @@
 //! Unit tests of the request table, and accessors for other unit tests.
 
 use super::*;
-use crate::body::Upload;
-use crate::socket::{PeerHandle, RequestArrival};
-use hyper::{HeaderMap, Method, Uri};
 use std::future::pending;
 use tokio::task::{spawn_local, LocalSet};
 
@@ -34,28 +31,16 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-fn forwarded_request() -> Rc<ForwardedRequest> {
-    Rc::new(ForwardedRequest {
-        method: Method::GET,
-        uri: Uri::from_static("/call"),
-        headers: HeaderMap::new(),
-        upload: Rc::new(Upload::empty(RequestArrival::new(
-            PeerHandle::default(),
-            None,
-        ))),
-        client: Default::default(),
-        timeout: Duration::from_secs(1),
-        shutdown_deadline: Default::default(),
-    })
-}
-
 /// Returns a table with one open request, its id, and the receiver of its final response.
 fn table_with_a_request() -> (RequestTable, RequestId, oneshot::Receiver<FinalResponse>) {
     let mut table = RequestTable::new(1, Duration::from_secs(1));
     let id = table
         .allocate_id("a".into())
         .expect("the request is rejected");
-    let response = table.insert(id, forwarded_request());
+    let response = table.insert(
+        id,
+        Rc::new(ForwardedRequest::without_client(Duration::from_secs(1))),
+    );
     (table, id, response)
 }
 
--- a/src/bin/load-balancer/dispatch/tests/mod.rs
+++ b/src/bin/load-balancer/dispatch/tests/mod.rs
@@ -3,11 +3,8 @@
 mod notification;
 
 use super::*;
-use crate::body::Upload;
 use crate::discovery::{Endpoint, EndpointStatus};
-use crate::socket::{PeerHandle, RequestArrival};
 use crate::upstream::{ForwardedRequest, ResponseContent};
-use hyper::{HeaderMap, Method, Uri};
 use load_balancer::Settings;
 use std::cell::Cell;
 use std::future::Future;
@@ -55,20 +52,6 @@
 }
 
 fn request_with_deadline(request_timeout: Duration) -> ValidatedRequest {
-    let (method, uri, headers) = (Method::GET, Uri::from_static("/call"), HeaderMap::new());
-    let upload = Rc::new(Upload::empty(RequestArrival::new(
-        PeerHandle::default(),
-        None,
-    )));
-    let forwarded_request = ForwardedRequest {
-        method,
-        uri,
-        headers,
-        upload,
-        client: Default::default(),
-        timeout: request_timeout,
-        shutdown_deadline: Default::default(),
-    };
     thread_local!(static LAST_ID: Cell<u64> = const { Cell::new(0) });
     let client_request_id = LAST_ID.with(|last| last.replace(last.get() + 1).to_string());
     ValidatedRequest {
@@ -76,7 +59,7 @@
         class: 0,
         tenant: 0,
         cost_hint: None,
-        forwarded_request,
+        forwarded_request: ForwardedRequest::without_client(request_timeout),
     }
 }
 
--- a/src/bin/load-balancer/upstream/tests.rs
+++ b/src/bin/load-balancer/upstream/tests.rs
@@ -1,13 +1,33 @@
-//! Unit tests of the connection pool.
+//! Unit tests of the connection pool, and a request for other unit tests.
 
 use super::pool::MAX_IDLE_PER_UPSTREAM;
 use super::*;
-use crate::body::MemoryBudget;
+use crate::body::{MemoryBudget, Upload};
 use crate::metrics::Metrics;
-use crate::socket::{AdminEndpoint, DescriptorBudget};
+use crate::socket::{AdminEndpoint, DescriptorBudget, PeerHandle, RequestArrival};
+use hyper::{HeaderMap, Method, Uri};
 use load_balancer::UpstreamId;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 
+impl ForwardedRequest {
+    /// Returns a request without a body, sent now by no client.
+    pub fn without_client(timeout: Duration) -> Self {
+        let client = PeerHandle::default();
+        let arrival = RequestArrival::new(client.clone(), None);
+        ForwardedRequest {
+            method: Method::GET,
+            uri: Uri::from_static("/call"),
+            headers: HeaderMap::new(),
+            upload: Rc::new(Upload::empty(arrival)),
+            client,
+            timeout,
+            shutdown_deadline: Default::default(),
+        }
+    }
+}
+
 /// An upstream accepts a limited number of connections from all balancers together. Without a limit
 /// per upstream, idle connections could use them up.
 #[test]
--- a/tests/faults/faults.c
+++ b/tests/faults/faults.c
@@ -86,15 +86,18 @@
     return fstat(fd, &status) == 0 && S_ISREG(status.st_mode);
 }
 
-#define WRAP(type, name, parameters, arguments, is_counted) \
+/* Wraps a call whose faults are those of `call`. */
+#define WRAP_AS(call, type, name, parameters, arguments, is_counted) \
     type name parameters {                                  \
         static type(*real) parameters;                      \
         if (!real)                                          \
             real = (type(*) parameters)dlsym(RTLD_NEXT, #name); \
-        if ((is_counted) && must_fail(#name))                   \
+        if ((is_counted) && must_fail(call))                    \
             return -1;                                      \
         return real arguments;                              \
     }
+#define WRAP(type, name, parameters, arguments, is_counted) \
+    WRAP_AS(#name, type, name, parameters, arguments, is_counted)
 
 WRAP(int, socketpair, (int domain, int type, int protocol, int pair[2]),
      (domain, type, protocol, pair), 1)
@@ -108,6 +111,8 @@
 WRAP(int, epoll_wait, (int fd, struct epoll_event *events, int max_events, int timeout),
      (fd, events, max_events, timeout), 1)
 WRAP(ssize_t, recv, (int fd, void *bytes, size_t size, int flags), (fd, bytes, size, flags), 1)
+WRAP_AS("recv", ssize_t, recvmsg, (int fd, struct msghdr *message, int flags),
+        (fd, message, flags), 1)
 WRAP(ssize_t, send, (int fd, const void *bytes, size_t size, int flags),
      (fd, bytes, size, flags), 1)
 WRAP(ssize_t, writev, (int fd, const struct iovec *parts, int count), (fd, parts, count), 1)
@@ -126,15 +131,6 @@
     return real(fd, level, name, value, size);
 }
 
-ssize_t recvmsg(int fd, struct msghdr *message, int flags) {
-    static ssize_t (*real)(int, struct msghdr *, int);
-    if (!real)
-        real = (ssize_t (*)(int, struct msghdr *, int))dlsym(RTLD_NEXT, "recvmsg");
-    if (must_fail("recv"))
-        return -1;
-    return real(fd, message, flags);
-}
-
 int connect(int fd, const struct sockaddr *address, socklen_t size) {
     static int (*real)(int, const struct sockaddr *, socklen_t);
     if (!real)
