--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,80 +1,78 @@
-"""Spoilt answers: after some answers a second copy comes some milliseconds late."""
+"""A planned restart while clients send long bodies; the settings forbid cancelling attempts."""
 import asyncio
-import collections
 import os
+import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "support-2"))
 from harness2 import Balancer, Client, Discovery, Upstream, main, request, settings, trouble
 
-SERVICE_SECONDS = 0.06
-SECOND_ANSWER_SECONDS = 0.005
-TENANTS = ["riverside-homes", "cedar-court", "hillcrest-row", "bayview-flats"]
-REQUESTS_PER_CLIENT = 30
-# One in ten answers has a second copy.
-SPOILT = 10
+CLIENTS = 10
+CLIENT_INTERVAL_SECONDS = 0.2
+BODY_BYTES = 640_000
+PART_BYTES = 6400
+PART_INTERVAL_SECONDS = 0.1
+SIGTERM_SECONDS = 4.5
+# The longest deadline, taken as 3 s, and 0.7 s more.
+SIGKILL_SECONDS = 3.7
 
 
 async def case(record, balancers):
-    second_answers, answered = [], collections.Counter()
-
-    def answer_again(exchange, body):
-        async def later():
-            await asyncio.sleep(SECOND_ANSWER_SECONDS)
-            try:
-                await exchange.answer(200, body)
-                second_answers.append(exchange.id)
-                record(f"{exchange.upstream.name}: second answer to {exchange.id}")
-            except OSError:
-                pass
-
-        asyncio.ensure_future(later())
-
     async def serve(exchange):
-        answered[exchange.upstream] += 1
-        body = f"answer to {exchange.id}".encode()
-        await asyncio.sleep(SERVICE_SECONDS)
-        await exchange.answer(200, body)
-        if trouble() and answered[exchange.upstream] % SPOILT == 0:
-            answer_again(exchange, body)
-        return True
+        record(f"{exchange.upstream.name}: {exchange.id} arrived whole, with a body of "
+               f"{len(exchange.body)} bytes; runs")
+        await asyncio.sleep(0.2)
+        return await exchange.answer(200, b"done")
 
-    upstreams = [await Upstream(f"s-{n}", record, serve).start() for n in range(2)]
+    upstreams = [await Upstream(f"s-{n}", record, serve).start() for n in range(10)]
     discovery = await Discovery(record, [upstream.endpoint() for upstream in upstreams]).start()
-    balancer = Balancer(record, discovery.port, discovery.list(), settings())
+    balancer = Balancer(record, discovery.port, discovery.list(), settings(limits__cancel=False))
     balancers.append(balancer)
     balancer.start()
     await balancer.wait_ready()
     await asyncio.sleep(0.3)
 
-    async def client(tenant, method, path, timeout):
-        """Sends one request after another on a connection that it keeps."""
-        wrong, connection = 0, None
-        for number in range(REQUESTS_PER_CLIENT):
-            if connection is None:
-                connection = await Client.connect(balancer.port)
-            name = f"{path[1:3]}-{tenant[:2]}-{number}"
-            await connection.send(request(method, path, name, timeout, tenant=tenant))
+    async def client(number):
+        """Sends a work order with a long body at 64 kB/s, and then waits for the answer."""
+        await asyncio.sleep(number * CLIENT_INTERVAL_SECONDS)
+        name, sent = f"order-{number}", 0
+        connection = await Client.connect(balancer.port)
+
+        async def read():
             answer = await connection.read_answer()
-            if answer.status != 200:
-                record(f"client {tenant}: {name}: {answer}")
-            elif answer.body != f"answer to {name}".encode():
-                wrong += 1
-                record(f"client {tenant}: {name}: WRONG ANSWER {answer}")
-            if not answer.status or answer.closes():
-                connection.close()
-                connection = None
+            record(f"client: {name}: {answer}")
+            return answer
+
+        reader = asyncio.ensure_future(read())
+        try:
+            await connection.send(request("POST", "/work-order", name, 6.0,
+                                          headers="Transfer-Encoding: chunked\r\n"))
+            while sent < BODY_BYTES:
+                await connection.send(b"%x\r\n%s\r\n" % (PART_BYTES, b"x" * PART_BYTES))
+                sent += PART_BYTES
+                await asyncio.sleep(PART_INTERVAL_SECONDS)
+            await connection.send(b"0\r\n\r\n")
+            record(f"client: {name}: sent all {sent} bytes")
+        except OSError:
+            record(f"client: {name}: connection ended after {sent} of {BODY_BYTES} bytes")
+        await reader
         connection.close()
-        return wrong
 
-    wrong = 0
-    for method, path, timeout in [("GET", "/account-view", 2.5), ("POST", "/rent-payment", 5.0)]:
-        record(f"{method} {path}")
-        wrong += sum(await asyncio.gather(*(client(tenant, method, path, timeout)
-                                            for tenant in TENANTS)))
-    record(f"{len(second_answers)} second answers; {wrong} requests got the answer of another one")
-    return wrong == 0
+    async def restart():
+        await asyncio.sleep(SIGTERM_SECONDS)
+        balancer.signal(signal.SIGTERM)
+        await asyncio.sleep(SIGKILL_SECONDS)
+        if balancer.is_running():
+            balancer.signal(signal.SIGKILL)
+
+    clients = [client(number) for number in range(CLIENTS)]
+    await asyncio.gather(*clients, *([restart()] if trouble() else []))
+    await asyncio.sleep(0.5)
+    runs = [run for upstream in upstreams for run in upstream.runs]
+    cut = [f"{run.id} ({len(run.body)} bytes)" for run in runs if len(run.body) != BODY_BYTES]
+    record(f"{len(runs)} runs; of a body that no client sent: {cut}")
+    return not cut
 
 
 main(case, HERE)
