--- a/review/support-2/harness2.py
+++ b/review/support-2/harness2.py
@@ -184,7 +184,7 @@
 
 class Answer:
     """What a client got for a request. `status` is 0 if the connection ended before a whole answer;
-    `end` then says how, and `head` is the first line of the answer if its whole head came."""
+    `end` then says how, and `head` is the first line of the answer, as far as it came."""
 
     def __init__(self, status=0, headers=None, body=b"", end="", head=""):
         self.status, self.headers, self.body = status, headers or {}, body
@@ -195,17 +195,17 @@
 
     def __str__(self):
         if not self.status:
-            begun = f"after the head '{self.head}'" if self.head else "with no answer"
+            begun = f"after '{self.head}'" if self.head else "with no answer"
             return f"connection {self.end} {begun}"
         return f"{self.status} {self.body[:60]!r}"
 
 
 class EndOfInput(Exception):
-    """The peer ended the connection: `how` is `closed` or `reset`."""
+    """The peer ended the connection: `how` is `closed` or `reset`, and `partial` the line begun."""
 
-    def __init__(self, how):
+    def __init__(self, how, partial=b""):
         super().__init__(how)
-        self.how = how
+        self.how, self.partial = how, partial.decode("latin-1")
 
 
 class Input:
@@ -217,8 +217,8 @@
     async def line(self):
         try:
             line = await self.reader.readuntil(b"\n")
-        except asyncio.IncompleteReadError:
-            raise EndOfInput("closed")
+        except asyncio.IncompleteReadError as error:
+            raise EndOfInput("closed", error.partial)
         except OSError:
             raise EndOfInput("reset")
         return line.rstrip(b"\r\n").decode("latin-1")
@@ -232,12 +232,14 @@
             raise EndOfInput("reset")
 
     async def head(self):
-        start = await self.line()
+        return await self.line(), await self.headers()
+
+    async def headers(self):
         headers = {}
         while True:
             line = await self.line()
             if not line:
-                return start, headers
+                return headers
             name, _, value = line.partition(":")
             headers[name.strip().lower()] = value.strip()
 
@@ -286,13 +288,14 @@
         """Reads the next answer, or how the connection ended."""
         head = ""
         try:
-            start, headers = await self.input.head()
+            start = head = await self.input.line()
+            headers = await self.input.headers()
             while start.split(" ")[1].startswith("1"):
-                start, headers = await self.input.head()
-            head = start
+                start = await self.input.line()
+                headers = await self.input.headers()
             body = await self.input.body(headers)
         except EndOfInput as end:
-            return Answer(end=end.how, head=head)
+            return Answer(end=end.how, head=head or end.partial)
         self.answers += 1
         return Answer(int(start.split(" ")[1]), headers, body)
 
