--- a/review/support-2/harness2.py
+++ b/review/support-2/harness2.py
@@ -50,11 +50,16 @@
     return found.group(1)
 
 
-def free_port():
-    """Returns a port that was free just now and that the kernel does not give out again at once."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_ports(count):
+    """Returns different ports that were free just now."""
+    probes = [socket.socket() for _ in range(count)]
+    try:
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [probe.getsockname()[1] for probe in probes]
+    finally:
+        for probe in probes:
+            probe.close()
 
 
 def settings(**changes):
@@ -107,33 +112,27 @@
     """One balancer process and its folder."""
 
     def __init__(self, record, discovery_port, known, settings_, memory_mb=64, sockets=512,
-                 name="n0", folder=None, port=None):
+                 name="n0"):
         self.record = record
         self.name = name
-        self.folder = folder or tempfile.mkdtemp(prefix="review-2-")
-        self.port = port or free_port()
-        self.admin_port = free_port()
-        self.config_path = os.path.join(self.folder, f"config-{self.admin_port}.json")
+        self.folder = tempfile.mkdtemp(prefix="review-2-")
+        self.config_path = os.path.join(self.folder, "config.json")
+        self.log_path = os.path.join(self.folder, "log.txt")
         self.config = {
-            "name": name, "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{discovery_port}",
-            "console": f"127.0.0.1:{self.admin_port}", "seed": "8c1f30d27a5be964",
+            "name": name, "discovery": f"127.0.0.1:{discovery_port}", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": known, "settings": settings_,
         }
-        self.write_config()
         self.process = None
 
-    def write_config(self):
-        temporary = self.config_path + ".new"
-        with open(temporary, "w", encoding="utf-8") as file:
-            json.dump(self.config, file)
-        os.rename(temporary, self.config_path)
-
     def start(self):
+        """Starts the process on ports that are free."""
+        self.port, admin_port = free_ports(2)
+        self.config.update(listen=f"127.0.0.1:{self.port}", console=f"127.0.0.1:{admin_port}")
+        with open(self.config_path, "w", encoding="utf-8") as file:
+            json.dump(self.config, file)
         tmp = os.path.join(self.folder, "tmp")
         os.makedirs(tmp, exist_ok=True)
-        self.log_path = os.path.join(self.folder, f"log-{self.admin_port}.txt")
         environment = {key: value for key, value in os.environ.items()
                        if not key.startswith("PROXY_")}
         environment.update(PROXY_CONFIG=self.config_path, TMPDIR=tmp)
@@ -155,7 +154,10 @@
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             if not self.is_running():
-                raise CannotRun(f"balancer {self.name} ended: {self.log()}")
+                # Another program may have been given one of the ports in the meantime.
+                if "Address already in use" not in self.log():
+                    raise CannotRun(f"balancer {self.name} ended: {self.log()}")
+                self.start()
             try:
                 client = await Client.connect(self.port)
                 await client.send(b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n")
