Withhold the error of a response body until the connection has been flushed

Cause: hyper polls the body in the turn in which it gets the head. If the body fails then, hyper ends the connection and drops its write buffer, which holds the head.

Fix: ResponseBody withholds the error until hyper has flushed the connection, which it does only when its write buffer is empty (Socket::next_flush). This waits for the flush itself, so it doesn't depend on the order of tasks.

Evidence: the unit tests hand hyper a body whose failure has been received before.

--- a/src/bin/load-balancer/body/response_body.rs
+++ b/src/bin/load-balancer/body/response_body/mod.rs
@@ -2,9 +2,11 @@
 
 use super::{BodyError, Download};
 use crate::metrics::{InFlightRequest, RequestOutcome};
+use crate::socket::{NextFlush, Socket};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::any::Any;
+use std::mem;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
@@ -15,14 +17,28 @@
     /// The complete body in memory; `None` if it is empty or has been returned.
     Complete(Option<Bytes>),
     Streamed(StreamedContent),
+    Failed(FailedContent),
 }
 
 /// A body that is forwarded while it is being received.
 struct StreamedContent {
     download: Box<Download>,
+    /// The client's connection.
+    socket: Socket,
     /// Counts the request in the metrics when the body ends.
     in_flight: InFlightRequest,
     /// Dropped when the body ends or the client disconnects.
+    resources: Box<dyn Any>,
+}
+
+/// A body that has failed, and whose error is withheld until the next flush.
+///
+/// Hyper drops its write buffer when a body fails. If the body failed before the head was written,
+/// the client would receive nothing, and could not tell that its request has run.
+struct FailedContent {
+    error: BodyError,
+    flush: NextFlush,
+    /// Dropped when the error is returned or the client disconnects.
     _resources: Box<dyn Any>,
 }
 
@@ -35,22 +51,50 @@
         ))
     }
 
-    /// Creates a body that is forwarded while it is being received. When it ends, the request is
-    /// counted in the metrics and `resources` are dropped.
+    /// Creates a body that is forwarded to the client at `socket` while it is being received. When
+    /// it ends, the request is counted in the metrics and `resources` are dropped.
     #[must_use]
     pub fn streamed(
         download: Box<Download>,
+        socket: Socket,
         in_flight: InFlightRequest,
         resources: Box<dyn Any>,
     ) -> Self {
         ResponseBody(Content::Streamed(StreamedContent {
             download,
+            socket,
             in_flight,
-            _resources: resources,
+            resources,
         }))
     }
 }
 
+impl Content {
+    /// Returns the next part of the body. An error is returned once the parts before it, and the
+    /// head, have been passed to the kernel.
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        let next = match self {
+            Content::Complete(body) => return Poll::Ready(body.take().map(Ok)),
+            Content::Streamed(streamed) => ready!(streamed.poll_data(cx)),
+            Content::Failed(failed) => Some(Err(ready!(failed.poll_error(cx)))),
+        };
+        match next {
+            Some(Ok(_)) => Poll::Ready(next),
+            Some(Err(error)) => match mem::replace(self, Content::Complete(None)) {
+                Content::Streamed(streamed) => {
+                    *self = Content::Failed(streamed.fail(error));
+                    self.poll_data(cx)
+                }
+                Content::Complete(_) | Content::Failed(_) => Poll::Ready(next),
+            },
+            None => {
+                *self = Content::Complete(None);
+                Poll::Ready(None)
+            }
+        }
+    }
+}
+
 impl StreamedContent {
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         let next = ready!(self.download.poll_data(cx));
@@ -61,6 +105,22 @@
         }
         Poll::Ready(next)
     }
+
+    /// Closes the upstream connection, and withholds `error` until the next flush.
+    fn fail(self, error: BodyError) -> FailedContent {
+        FailedContent {
+            error,
+            flush: self.socket.next_flush(),
+            _resources: self.resources,
+        }
+    }
+}
+
+impl FailedContent {
+    /// Returns the error after the flush.
+    fn poll_error(&self, cx: &mut Context<'_>) -> Poll<BodyError> {
+        self.flush.poll(cx).map(|()| self.error)
+    }
 }
 
 impl Body for ResponseBody {
@@ -71,16 +131,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let next = match &mut self.0 {
-            Content::Complete(body) => body.take().map(Ok),
-            Content::Streamed(streamed) => {
-                let next = ready!(streamed.poll_data(cx));
-                if !matches!(next, Some(Ok(_))) {
-                    self.0 = Content::Complete(None);
-                }
-                next
-            }
-        };
+        let next = ready!(self.0.poll_data(cx));
         Poll::Ready(next.map(|data| data.map(Frame::data)))
     }
 
@@ -88,6 +139,7 @@
         match &self.0 {
             Content::Complete(body) => body.is_none(),
             Content::Streamed(streamed) => streamed.download.is_finished(),
+            Content::Failed(_) => false,
         }
     }
 
@@ -97,6 +149,10 @@
                 SizeHint::with_exact(body.as_ref().map_or(0, |body| body.len() as u64))
             }
             Content::Streamed(streamed) => streamed.download.size_hint(),
+            Content::Failed(_) => SizeHint::default(),
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/load-balancer/server/handler.rs
+++ b/src/bin/load-balancer/server/handler.rs
@@ -137,9 +137,12 @@
                     "too long an answer for a process that ends",
                 );
             }
-            ResponseContent::Streamed(download) => {
-                ResponseBody::streamed(download, in_flight, Box::new(StreamingGuard::begin(client)))
-            }
+            ResponseContent::Streamed(download) => ResponseBody::streamed(
+                download,
+                client.socket.clone(),
+                in_flight,
+                Box::new(StreamingGuard::begin(client)),
+            ),
         };
         let mut response = Response::new(body);
         *response.headers_mut() = end_to_end_headers(upstream_headers);
--- a/src/bin/load-balancer/socket/connection.rs
+++ b/src/bin/load-balancer/socket/connection.rs
@@ -2,6 +2,7 @@
 
 use super::client_input::ClientInput;
 use super::exchange_limits::ExchangeLimits;
+use super::flush::FlushCounter;
 use super::read_ahead::ReadAheadBuffer;
 use super::receive_clock::ReceiveClock;
 use super::system_errors::is_local_error;
@@ -30,6 +31,7 @@
     pub(super) sent: TrafficCounter,
     /// Whether a write waits until the kernel accepts more bytes.
     pub(super) is_write_blocked: Cell<bool>,
+    pub(super) flushes: FlushCounter,
     pub(super) client_input: ClientInput,
     /// The clock of the receive timestamps; `None` if the arrival of input is not recorded.
     pub(super) receive_clock: Option<Rc<ReceiveClock>>,
@@ -121,6 +123,7 @@
             received: TrafficCounter::new(),
             sent: TrafficCounter::new(),
             is_write_blocked: Cell::new(false),
+            flushes: FlushCounter::default(),
             client_input: ClientInput::new(receive_clock.is_some()),
             receive_clock,
             read_ahead: ReadAheadBuffer::new(permit.read_ahead_usage()),
--- a/src/bin/load-balancer/socket/io.rs
+++ b/src/bin/load-balancer/socket/io.rs
@@ -54,6 +54,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.flushes.record_flush();
         Poll::Ready(Ok(()))
     }
 
--- a/src/bin/load-balancer/socket/mod.rs
+++ b/src/bin/load-balancer/socket/mod.rs
@@ -8,6 +8,7 @@
 //!   reads them. `receive` reads them together with the kernel's receive timestamps, from which
 //!   `arrival` estimates when they were sent. [`RequestArrival`] is the result for one request.
 //! - For connections to upstreams, `exchange_limits` checks the reads and writes of an exchange.
+//! - [`NextFlush`] tells when all buffered bytes have been passed to the kernel.
 //! - `closing` detects disconnects and implements the lingering close.
 //! - [`system_errors`] classifies errors of system calls.
 
@@ -17,6 +18,7 @@
 mod connection;
 mod descriptor_budget;
 mod exchange_limits;
+mod flush;
 mod io;
 mod read_ahead;
 mod receive;
@@ -27,6 +29,7 @@
 pub use closing::UnreadInput;
 pub use connection::{PeerHandle, Socket};
 pub use descriptor_budget::{AdminEndpoint, DescriptorBudget, DescriptorPermit, Purpose};
+pub use flush::NextFlush;
 pub use receive::enable_receive_timestamps;
 pub use receive_clock::ReceiveClock;
 pub use request_arrival::RequestArrival;
--- a/src/bin/load-balancer/socket/tests.rs
+++ b/src/bin/load-balancer/socket/tests.rs
@@ -7,6 +7,15 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+impl Socket {
+    /// Sets the size of the kernel's send buffer, of which the kernel uses twice as much.
+    pub fn set_send_buffer_bytes(&self, bytes: usize) {
+        socket2::SockRef::from(&self.0.stream)
+            .set_send_buffer_size(bytes)
+            .expect("the send buffer can't be set");
+    }
+}
+
 /// Clients must not use up the descriptors that upstreams need, and neither clients nor upstreams
 /// may use those that are reserved for discovery and the admin endpoint.
 #[test]
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -98,6 +98,29 @@
     assert_eq!(upstream.seen.try_iter().count(), 1);
 }
 
+/// A client whose request has run must not see its connection closed without a byte of a response.
+#[test]
+fn a_large_response_that_ends_after_its_beginning_is_begun() {
+    let upstream = StubUpstream::start(StubResponse::Ok);
+    let (program, _discovery) = Program::with_admin(&[upstream.address]);
+    let head = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
+    let truncated: &str = format!("{head}{}", body_of(2000)).leak();
+    for round in 1..=10 {
+        upstream.set_response(StubResponse::Ok);
+        let mut client = program.client();
+        assert_eq!(client.request("/read", REQUEST_ID, "").status(), 200);
+        upstream.set_response(StubResponse::RawThenClose(truncated));
+        client.send("/pay", REQUEST_ID, "coins").unwrap();
+        let response = String::from_utf8(client.read_to_end()).unwrap();
+        assert!(
+            response.starts_with("HTTP/1.1 200") && response.len() < 100_000,
+            "round {round}: received {response:?}"
+        );
+        assert_eq!(program.metric("failed.pay"), round);
+    }
+    assert_eq!(program.metric("in_flight"), 0);
+}
+
 #[test]
 fn a_chunked_body_or_one_after_100_continue_is_forwarded_unchanged() {
     let upstream = StubUpstream::start(StubResponse::Ok);
