Abandon an incomplete body when its request is concluded, and never end it

Cause: in Upload, "no remaining body" stood for "read to its end" and for "taken away to be discarded", so the attempt wrote the last chunk of a body whose rest was being discarded.

Fix: one state out of receiving, complete and abandoned; an abandoned body fails and closes the upstream connection. RequestTable::conclude abandons an incomplete body in the call that sends the final response, so that the attempt can't read the rest in between.

Of the suite only the affected test binaries were run so far.

--- a/src/bin/load-balancer/body/mod.rs
+++ b/src/bin/load-balancer/body/mod.rs
@@ -44,4 +44,7 @@
     /// The body exceeds [`MAX_BODY_BYTES`].
     #[error("the body is too large")]
     TooLarge,
+    /// The request was concluded before its body was complete, so the rest is not forwarded.
+    #[error("the body is not forwarded any more")]
+    Abandoned,
 }
--- a/src/bin/load-balancer/body/response_body/tests.rs
+++ b/src/bin/load-balancer/body/response_body/tests.rs
@@ -3,7 +3,6 @@
 use super::*;
 use crate::body::MAX_BODY_BYTES;
 use crate::metrics::Metrics;
-use crate::socket::{AdminEndpoint, DescriptorBudget, Purpose};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::server::conn::http1 as server;
@@ -13,10 +12,9 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::future::Future;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::timeout;
@@ -35,35 +33,10 @@
     ClosedAfter(&'static str),
 }
 
-/// The two ends of a TCP connection.
-struct Connection {
-    socket: Socket,
-    peer: TcpStream,
-}
-
-async fn connect(budget: &Rc<DescriptorBudget>) -> Connection {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("no free port");
-    let address = listener.local_addr().expect("listener has no address");
-    let permit = budget
-        .acquire(Purpose::Upstream)
-        .expect("no free descriptor");
-    let socket = Socket::connect(address, permit, TEST_TIMEOUT)
-        .await
-        .expect("not connected");
-    let (peer, _) = listener.accept().await.expect("no connection accepted");
-    Connection { socket, peer }
-}
-
 /// Returns the body of a response whose first part has been read, and whose failure has already
 /// been received. It follows the first part without any wait.
-async fn failed_body(
-    connection: Connection,
-    head: &str,
-    end: UpstreamEnd,
-) -> (VecDeque<Bytes>, Incoming) {
-    let Connection { socket, mut peer } = connection;
+async fn failed_body(head: &str, end: UpstreamEnd) -> (VecDeque<Bytes>, Incoming) {
+    let (socket, mut peer) = Socket::with_peer().await;
     let (mut sender, mut exchange) = client::handshake(socket.clone())
         .await
         .expect("no handshake");
@@ -112,8 +85,7 @@
 
 /// Serves `body`, which fails, as the response to the request of a client, and returns what the
 /// client receives until its connection ends.
-async fn receive_response(connection: Connection, body: ResponseBody) -> Vec<u8> {
-    let Connection { socket, mut peer } = connection;
+async fn receive_response(socket: Socket, mut peer: TcpStream, body: ResponseBody) -> Vec<u8> {
     let body = Cell::new(Some(body));
     let service = service_fn(|_: Request<Incoming>| {
         let body = body.take().expect("only one request is sent");
@@ -172,11 +144,10 @@
     ];
     for (head, end, length) in cases {
         let received = run(async {
-            let budget = DescriptorBudget::new(64, AdminEndpoint::Absent);
-            let (read_ahead, rest) = failed_body(connect(&budget).await, head, end).await;
-            let connection = connect(&budget).await;
-            let body = streamed(read_ahead, rest, length, &connection.socket);
-            receive_response(connection, body).await
+            let (read_ahead, rest) = failed_body(head, end).await;
+            let (socket, peer) = Socket::with_peer().await;
+            let body = streamed(read_ahead, rest, length, &socket);
+            receive_response(socket, peer, body).await
         });
         let text = String::from_utf8(received).expect("not a text");
         assert!(
@@ -218,13 +189,12 @@
     read_ahead_bytes: usize,
 ) -> Vec<u8> {
     let received = run(async {
-        let budget = DescriptorBudget::new(64, AdminEndpoint::Absent);
-        let (_, rest) = failed_body(connect(&budget).await, head, end).await;
-        let connection = connect(&budget).await;
-        connection.socket.set_send_buffer_bytes(SEND_BUFFER_BYTES);
+        let (_, rest) = failed_body(head, end).await;
+        let (socket, peer) = Socket::with_peer().await;
+        socket.set_send_buffer_bytes(SEND_BUFFER_BYTES);
         let read_ahead = VecDeque::from([Bytes::from(vec![b'~'; read_ahead_bytes])]);
-        let body = streamed(read_ahead, rest, length, &connection.socket);
-        receive_response(connection, body).await
+        let body = streamed(read_ahead, rest, length, &socket);
+        receive_response(socket, peer, body).await
     });
     let body_bytes = received.iter().filter(|byte| **byte == b'~').count();
     assert_eq!(body_bytes, read_ahead_bytes);
--- a/src/bin/load-balancer/body/upload.rs
+++ b/src/bin/load-balancer/body/upload/mod.rs
@@ -11,7 +11,7 @@
 use std::mem;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -21,14 +21,27 @@
 /// Time by which a client may fall behind the minimum rate while its body is read ahead.
 const MAX_SEND_LAG: Duration = Duration::from_millis(800);
 
+/// The part of a body after the bytes that were read ahead.
+#[derive(Debug)]
+enum Remainder {
+    /// It is being received, and forwarded to the upstream.
+    Receiving(Incoming),
+    /// The complete body has been read.
+    Complete,
+    /// It will not be forwarded, so the body can't become complete at any upstream. Holds what is
+    /// still to be received, until [`Upload::discard`] takes it.
+    Abandoned(Option<Incoming>),
+}
+
 /// A request body: the bytes that have been read ahead, and the rest that is still being received.
 #[derive(Debug)]
 pub struct Upload {
     /// The bytes that have been read ahead, with their memory. They are dropped once they can't be
     /// sent again.
     read_ahead: RefCell<Bytes>,
-    /// The rest of the body; `None` once it has been read or is being discarded.
-    remaining: RefCell<Option<Incoming>>,
+    remainder: RefCell<Remainder>,
+    /// Wakes the task that waits for the next part, to forward it.
+    forwarding_task: RefCell<Option<Waker>>,
     length: Option<u64>,
     bytes_read: Cell<u64>,
     arrival: RequestArrival,
@@ -44,12 +57,12 @@
     /// Creates the empty body of a request.
     #[must_use]
     pub fn empty(arrival: RequestArrival) -> Self {
-        Self::new(Bytes::new(), None, Some(0), arrival)
+        Self::new(Bytes::new(), Remainder::Complete, Some(0), arrival)
     }
 
     fn new(
         read_ahead: Bytes,
-        remaining: Option<Incoming>,
+        remainder: Remainder,
         length: Option<u64>,
         arrival: RequestArrival,
     ) -> Self {
@@ -57,7 +70,8 @@
         Upload {
             bytes_read: Cell::new(read_ahead.len() as u64),
             read_ahead: RefCell::new(read_ahead),
-            remaining: RefCell::new(remaining),
+            remainder: RefCell::new(remainder),
+            forwarding_task: RefCell::default(),
             length,
             arrival,
             is_consumed: Cell::new(false),
@@ -108,7 +122,8 @@
             return Ok(Self::complete(read_ahead, reservation, arrival));
         }
         let read_ahead = reservation.attach(read_ahead.freeze());
-        Ok(Self::new(read_ahead, Some(body), length, arrival))
+        let remainder = Remainder::Receiving(body);
+        Ok(Self::new(read_ahead, remainder, length, arrival))
     }
 
     /// Creates a body that has been read to its end.
@@ -119,7 +134,7 @@
     ) -> Self {
         let length = read_ahead.len() as u64;
         let read_ahead = reservation.attach(read_ahead.freeze());
-        Self::new(read_ahead, None, Some(length), arrival)
+        Self::new(read_ahead, Remainder::Complete, Some(length), arrival)
     }
 
     /// Returns the length of the complete body in bytes, if known.
@@ -135,10 +150,10 @@
         self.arrival.sent_at()
     }
 
-    /// Returns whether the rest of the body still has to be read.
+    /// Returns whether the complete body has been read. A body that was abandoned before never is.
     #[must_use]
-    pub fn is_streamed(&self) -> bool {
-        self.remaining.borrow().is_some()
+    pub fn is_complete(&self) -> bool {
+        matches!(*self.remainder.borrow(), Remainder::Complete)
     }
 
     /// Returns whether the body can still be sent to an upstream from its beginning.
@@ -162,12 +177,36 @@
         receiver
     }
 
-    /// Drops the bytes that have been read ahead. Then reads and drops the rest of the body, up to
-    /// [`MAX_BODY_BYTES`] in total, because a client that is still sending may read its response
-    /// only afterwards.
-    pub async fn discard(&self) {
+    /// Stops forwarding the body unless the complete body has been read: an attempt that is still
+    /// in flight fails, and no other one can send the body. Called when the request is concluded,
+    /// because its client may have been told that it has not run.
+    pub fn abandon(&self) {
+        if self.is_complete() {
+            return;
+        }
         self.drop_read_ahead();
-        let Some(mut remaining) = self.remaining.borrow_mut().take() else {
+        self.remainder.replace_with(|remainder| {
+            let remaining = match mem::replace(remainder, Remainder::Complete) {
+                Remainder::Receiving(remaining) => Some(remaining),
+                Remainder::Abandoned(remaining) => remaining,
+                Remainder::Complete => None,
+            };
+            Remainder::Abandoned(remaining)
+        });
+        if let Some(task) = self.forwarding_task.take() {
+            task.wake();
+        }
+    }
+
+    /// Abandons the body. Then reads and drops the rest, up to [`MAX_BODY_BYTES`] in total, because
+    /// a client that is still sending may read its response only afterwards.
+    pub async fn discard(&self) {
+        self.abandon();
+        let remaining = match &mut *self.remainder.borrow_mut() {
+            Remainder::Abandoned(remaining) => remaining.take(),
+            Remainder::Receiving(_) | Remainder::Complete => None,
+        };
+        let Some(mut remaining) = remaining else {
             return;
         };
         let next_deadline = || Instant::now() + CLIENT_STALL_TIMEOUT;
@@ -188,17 +227,23 @@
 
     /// Reads the next part after the bytes that were read ahead. Trailers are dropped.
     fn poll_remaining(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
-        let mut remaining = self.remaining.borrow_mut();
-        let Some(body) = remaining.as_mut() else {
-            return Poll::Ready(None);
+        let mut remainder = self.remainder.borrow_mut();
+        let body = match &mut *remainder {
+            Remainder::Receiving(body) => body,
+            Remainder::Complete => return Poll::Ready(None),
+            Remainder::Abandoned(_) => return Poll::Ready(Some(Err(BodyError::Abandoned))),
         };
         loop {
-            let frame = match ready!(Pin::new(&mut *body).poll_frame(cx)) {
+            let Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) else {
+                self.forwarding_task.replace(Some(cx.waker().clone()));
+                return Poll::Pending;
+            };
+            let frame = match frame {
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => return Poll::Ready(Some(Err(BodyError::Truncated))),
                 None => {
                     self.arrival.record_progress();
-                    self.complete_reading(&mut remaining);
+                    self.complete_reading(&mut remainder);
                     return Poll::Ready(None);
                 }
             };
@@ -213,14 +258,14 @@
                 return Poll::Ready(Some(Err(BodyError::TooLarge)));
             }
             if body.is_end_stream() {
-                self.complete_reading(&mut remaining);
+                self.complete_reading(&mut remainder);
             }
             return Poll::Ready(Some(Ok(data)));
         }
     }
 
-    fn complete_reading(&self, remaining: &mut Option<Incoming>) {
-        *remaining = None;
+    fn complete_reading(&self, remainder: &mut Remainder) {
+        *remainder = Remainder::Complete;
         if let Some(completion) = self.completion.borrow_mut().take() {
             // The receiver may have been dropped.
             let _ = completion.send(());
@@ -270,7 +315,7 @@
     }
 
     fn report_completion(&mut self) {
-        if self.upload.is_streamed() {
+        if !self.upload.is_complete() {
             return;
         }
         if let Some(on_complete) = self.on_complete.take() {
@@ -312,7 +357,7 @@
     fn is_end_stream(&self) -> bool {
         let is_read_ahead_done = self.is_read_ahead_sent
             || self.upload.is_replayable() && self.upload.read_ahead.borrow().is_empty();
-        is_read_ahead_done && !self.upload.is_streamed()
+        is_read_ahead_done && self.upload.is_complete()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -321,3 +366,6 @@
             .map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/load-balancer/dispatch/request_lifecycle.rs
+++ b/src/bin/load-balancer/dispatch/request_lifecycle.rs
@@ -36,7 +36,7 @@
         let forwarded_request = Rc::new(request.forwarded_request);
         let (deadline, is_streamed) = (
             forwarded_request.deadline(),
-            forwarded_request.upload.is_streamed(),
+            !forwarded_request.upload.is_complete(),
         );
         if let Some(dispatcher) = self.weak_self.upgrade().filter(|_| is_streamed) {
             let completed = forwarded_request.upload.completion_receiver();
@@ -209,10 +209,10 @@
         }
         // A request with an incomplete body has not run: an upstream starts work only after it
         // has received the last byte.
-        let response = if request.forwarded_request().upload.is_streamed() {
-            FinalResponse::Rejected { retry_after: None }
-        } else {
+        let response = if request.forwarded_request().upload.is_complete() {
             FinalResponse::Failed
+        } else {
+            FinalResponse::Rejected { retry_after: None }
         };
         log::line(format!("no decision before the deadline: request {}", id.0));
         self.respond(id, response);
--- a/src/bin/load-balancer/dispatch/request_table/mod.rs
+++ b/src/bin/load-balancer/dispatch/request_table/mod.rs
@@ -231,7 +231,7 @@
     }
 
     /// Concludes a request. Returns the sender for its final response, or `None` if it is already
-    /// concluded. Its attempts that have not written anything are ended even if the settings forbid
+    /// concluded. A body that is not complete is not forwarded any more. Its attempts that have not written anything are ended even if the settings forbid
     /// cancelling running attempts, because no client waits for them any longer. The results of the
     /// ended attempts are appended to `events`.
     pub fn conclude(
@@ -241,6 +241,7 @@
     ) -> Option<oneshot::Sender<FinalResponse>> {
         let request = self.requests.get_mut(&id)?;
         let response = request.response.take()?;
+        request.forwarded_request.upload.abandon();
         let events_before = events.len();
         for (number, attempt) in (0..).zip(&mut request.attempts) {
             if !attempt.has_written() {
--- a/src/bin/load-balancer/server/handler.rs
+++ b/src/bin/load-balancer/server/handler.rs
@@ -68,10 +68,10 @@
         client.enter(Phase::AwaitingResponse);
         // While a complete request awaits its response, nothing else reads the bytes that follow
         // it. They are read ahead, as unread bytes can hide that the client has disconnected.
-        client.socket.set_read_ahead(!upload.is_streamed());
+        client.socket.set_read_ahead(upload.is_complete());
         let final_response = response.await;
         client.socket.set_read_ahead(false);
-        if upload.is_streamed() {
+        if !upload.is_complete() {
             discard_rest_of_body(client, upload.clone());
         }
         self.client_response(final_response.ok(), in_flight, &upload, client)
--- a/src/bin/load-balancer/server/request_error/mod.rs
+++ b/src/bin/load-balancer/server/request_error/mod.rs
@@ -60,7 +60,7 @@
             Self::Body(BodyError::Stalled) => StatusCode::REQUEST_TIMEOUT,
             Self::Body(BodyError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::DuplicateRequestId => StatusCode::CONFLICT,
-            Self::TooManyOpen => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TooManyOpen | Self::Body(BodyError::Abandoned) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/src/bin/load-balancer/socket/tests.rs
+++ b/src/bin/load-balancer/socket/tests.rs
@@ -6,8 +6,25 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
 
 impl Socket {
+    /// Returns a connection on loopback and its peer.
+    pub async fn with_peer() -> (Self, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("no free port");
+        let address = listener.local_addr().expect("listener has no address");
+        let permit = DescriptorBudget::new(64, AdminEndpoint::Absent)
+            .acquire(Purpose::Upstream)
+            .expect("no free descriptor");
+        let socket = Socket::connect(address, permit, Duration::from_secs(60))
+            .await
+            .expect("not connected");
+        let (peer, _) = listener.accept().await.expect("no connection accepted");
+        (socket, peer)
+    }
+
     /// Sets the size of the kernel's send buffer, of which the kernel uses twice as much.
     pub fn set_send_buffer_bytes(&self, bytes: usize) {
         socket2::SockRef::from(&self.0.stream)
@@ -72,17 +89,7 @@
         .build()
         .expect("no runtime");
     runtime.block_on(async {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("no free port");
-        let address = listener.local_addr().expect("listener has no address");
-        let permit = DescriptorBudget::new(64, AdminEndpoint::Absent)
-            .acquire(Purpose::Upstream)
-            .expect("no free descriptor");
-        let mut socket = Socket::connect(address, permit, Duration::from_secs(60))
-            .await
-            .expect("not connected");
-        let (peer, _) = listener.accept().await.expect("no connection accepted");
+        let (mut socket, peer) = Socket::with_peer().await;
         let bytes = [0; 1 << 16];
         let mut is_write_pending =
             |cx: &mut Context<'_>| Pin::new(&mut socket).poll_write(cx, &bytes).is_pending();
