Wake attempts when a shutdown moves their deadline forward

What callers saw: at the end of a graceful shutdown a read whose upstream hung got 502, as if it could not be repeated.

Cause: an attempt slept until the deadline that held when the sleep began, so it missed the earlier deadline of a shutdown, and the backstop concluded the request 5 ms before it, without the decision module.

Fix: ShutdownDeadline wakes the attempts when it is set. No attempt is sent once the time of its request has passed, as the decision module doesn't know of the earlier deadline and would retry.

Evidence: the new test got 502 before and gets 503 with the fix, with one request sent.

--- a/src/bin/load-balancer/dispatch/request_lifecycle.rs
+++ b/src/bin/load-balancer/dispatch/request_lifecycle.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    /// Starts an attempt. If it can't be sent, its result is queued as an event immediately.
+    /// Starts an attempt. If it can't be sent, or not in time because a shutdown has moved the
+    /// deadline of the request forward, its result is queued as an event immediately.
     pub(super) fn start_attempt(
         &mut self,
         id: RequestId,
@@ -90,7 +91,8 @@
         let connection_idle_time = ConnectionIdleTime::default();
         let number =
             request.add_attempt(upstream, address, started_at, connection_idle_time.clone());
-        let address = address.filter(|_| request.can_be_sent());
+        let has_time = request.forwarded_request().deadline() > started_at + DEADLINE_MARGIN;
+        let address = address.filter(|_| has_time && request.can_be_sent());
         let (Some(address), Some(dispatcher)) = (address, self.weak_self.upgrade()) else {
             self.events.push_back(not_sent_event(id, number));
             return;
--- a/src/bin/load-balancer/upstream/attempt.rs
+++ b/src/bin/load-balancer/upstream/attempt.rs
@@ -209,10 +209,11 @@
     }
 
     /// Waits until the attempt times out. The deadline is checked again after each sleep, as it
-    /// moves while the client sends its body.
+    /// moves back while the client sends its body, and forward when a shutdown begins.
     async fn wait_for_deadline(&self) {
         while self.deadline() > Instant::now() {
-            sleep_until(self.deadline()).await;
+            let shutdown_deadline = &self.request.shutdown_deadline;
+            shutdown_deadline.sleep_until_or_set(self.deadline()).await;
         }
     }
 
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -2,6 +2,7 @@
 //! upstream or with the eviction of their connection.
 
 mod support;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 use support::*;
@@ -268,3 +269,33 @@
         }
     }
 }
+
+/// An attempt must notice that the shutdown moves its deadline forward. Otherwise the request is
+/// concluded without the decision module, and a request that may be repeated counts as failed.
+#[test]
+fn attempts_end_before_the_deadline_of_a_shutdown() {
+    let upstreams = [StubResponse::NoResponse; 3].map(StubUpstream::start);
+    let addresses = upstreams.each_ref().map(|upstream| upstream.address);
+    let (program, _discovery) = Program::with_upstreams(&addresses);
+    let mut client = program.client();
+    client
+        .send(
+            "/read",
+            &format!("{REQUEST_ID}Request-Timeout: 9.0\r\n"),
+            "",
+        )
+        .unwrap();
+    wait_until("an upstream has the request", || {
+        upstreams
+            .iter()
+            .any(|upstream| upstream.connection_count.load(Ordering::SeqCst) > 0)
+    });
+    program.terminate();
+    let response = client.receive().unwrap().expect("no response");
+    assert_eq!(response.status(), 503);
+    let requests: usize = upstreams
+        .iter()
+        .map(|upstream| upstream.seen.try_iter().count())
+        .sum();
+    assert_eq!(requests, 1, "requests sent, with no time left for a retry");
+}
