--- a/src/bin/load-balancer/dispatch/request_table/mod.rs
+++ b/src/bin/load-balancer/dispatch/request_table/mod.rs
@@ -231,9 +231,10 @@
     }
 
     /// Concludes a request. Returns the sender for its final response, or `None` if it is already
-    /// concluded. A body that is not complete is not forwarded any more. Its attempts that have not written anything are ended even if the settings forbid
-    /// cancelling running attempts, because no client waits for them any longer. The results of the
-    /// ended attempts are appended to `events`.
+    /// concluded. A body that is not complete is not forwarded any more. The attempts that have not
+    /// written anything are ended even if the settings forbid cancelling running attempts, because
+    /// no client waits for them any longer. The results of the ended attempts are appended to
+    /// `events`.
     pub fn conclude(
         &mut self,
         id: RequestId,
--- a/tests/abandoned_uploads.rs
+++ b/tests/abandoned_uploads.rs
@@ -38,8 +38,8 @@
     });
 }
 
-/// A request that is rejected because the process ends must not be completed at an upstream, whether
-/// its client goes on sending or sends the end of its body.
+/// A request that is rejected because the process ends must not be completed at an upstream,
+/// whether its client goes on sending or sends the end of its body.
 #[test]
 fn a_request_rejected_during_a_shutdown_is_not_completed() {
     let upstreams = [StubResponse::Ok; 2].map(StubUpstream::start);
