Limit what streamed bodies buffer by a share of the memory

Cause: hyper buffers up to 16 parts or 32 KiB for each slow client, and each part keeps the read buffer allocated that it was received in. No budget counted this.

Fix: StreamWindow hands hyper a further part only while the parts since the last flush are below the stream's share of a sixteenth of the memory. Parts are copied where it is small.

--- a/src/bin/load-balancer/body/memory_budget/mod.rs
+++ b/src/bin/load-balancer/body/memory_budget/mod.rs
@@ -1,4 +1,4 @@
-//! The memory for reading bodies ahead.
+//! The memory for bodies: what is read ahead of them, and what is buffered while they are streamed.
 
 use super::READ_AHEAD_BYTES;
 use bytes::Bytes;
@@ -10,6 +10,8 @@
 /// The memory for reading ahead is the memory of the process divided by this number. During an
 /// upgrade a second process runs next to this one and uses as much memory for reading ahead.
 const MEMORY_DIVISOR: usize = 8;
+/// All streamed bodies together may buffer the memory of the process divided by this number.
+const STREAM_MEMORY_DIVISOR: usize = 16;
 /// Number of bytes of a body that are read ahead even if no memory is free, so that short bodies
 /// are always read completely. A connection's read buffer takes twice as much.
 const UNRESERVED_READ_AHEAD_BYTES: usize = 4 << 10;
@@ -23,8 +25,16 @@
     total_bytes: usize,
     free: Arc<Semaphore>,
     shortages: Cell<u64>,
+    /// Memory for buffering streamed bodies, in bytes.
+    stream_bytes: usize,
+    streams: Cell<usize>,
 }
 
+/// The share of one streamed body in the memory for buffering such bodies. The share of each body
+/// becomes smaller while there are more of them.
+#[derive(Debug)]
+pub struct StreamShare(Rc<MemoryBudget>);
+
 /// The memory that one body may use for reading ahead. Dropping it releases the memory that
 /// [`Self::attach`] has not attached to any bytes.
 #[derive(Debug)]
@@ -56,6 +66,8 @@
             total_bytes: bytes,
             free: Arc::new(Semaphore::new(bytes)),
             shortages: Cell::new(0),
+            stream_bytes: process_bytes / STREAM_MEMORY_DIVISOR,
+            streams: Cell::new(0),
         })
     }
 
@@ -65,6 +77,13 @@
         self.total_bytes - self.free.available_permits()
     }
 
+    /// Begins to stream a body, until the returned share is dropped.
+    #[must_use]
+    pub fn begin_stream(self: &Rc<Self>) -> StreamShare {
+        self.streams.set(self.streams.get() + 1);
+        StreamShare(self.clone())
+    }
+
     /// Returns how many bodies have found less memory free than they needed.
     #[must_use]
     pub fn shortages(&self) -> u64 {
@@ -94,6 +113,20 @@
     }
 }
 
+impl StreamShare {
+    /// Returns how many bytes the body may buffer now.
+    #[must_use]
+    pub fn max_bytes(&self) -> usize {
+        self.0.stream_bytes / self.0.streams.get()
+    }
+}
+
+impl Drop for StreamShare {
+    fn drop(&mut self) {
+        self.0.streams.set(self.0.streams.get() - 1);
+    }
+}
+
 impl ReadAheadReservation {
     /// Returns a reservation of no memory, which allows no bytes to be read ahead.
     #[must_use]
--- a/src/bin/load-balancer/body/memory_budget/tests.rs
+++ b/src/bin/load-balancer/body/memory_budget/tests.rs
@@ -59,3 +59,14 @@
     }
     assert_eq!(budget.reserved_bytes(), 2 * READ_AHEAD_BYTES);
 }
+
+#[test]
+fn streamed_bodies_share_their_memory_equally() {
+    let budget = MemoryBudget::new(PROCESS_BYTES);
+    let first = budget.begin_stream();
+    let alone = first.max_bytes();
+    let others = [budget.begin_stream(), budget.begin_stream()];
+    assert_eq!(first.max_bytes(), alone / 3);
+    drop(others);
+    assert_eq!(first.max_bytes(), alone);
+}
--- a/src/bin/load-balancer/body/mod.rs
+++ b/src/bin/load-balancer/body/mod.rs
@@ -3,18 +3,21 @@
 //!
 //! The memory for reading ahead is limited by one [`MemoryBudget`], for which nothing waits. It is
 //! released with the bytes that were read ahead, not at the end of their body. A streamed body is
-//! only read as fast as its receiver accepts it. [`Upload`] and [`UploadBody`] represent a
+//! only read as fast as its receiver accepts it; what is buffered for the receivers of all streamed
+//! bodies is limited too. [`Upload`] and [`UploadBody`] represent a
 //! request's body, [`Download`] and [`ResponseBody`] a response's body.
 
 mod download;
 mod memory_budget;
 mod response_body;
 mod stall_timer;
+mod stream_window;
 mod upload;
 
 pub use download::Download;
-pub use memory_budget::{MemoryBudget, ReadAheadReservation};
+pub use memory_budget::{MemoryBudget, ReadAheadReservation, StreamShare};
 pub use response_body::ResponseBody;
+pub use stream_window::StreamWindow;
 pub use upload::{Upload, UploadBody};
 
 use std::time::Duration;
--- a/src/bin/load-balancer/body/response_body/mod.rs
+++ b/src/bin/load-balancer/body/response_body/mod.rs
@@ -1,6 +1,7 @@
 //! Response bodies as they are sent to clients.
 
-use super::{BodyError, Download};
+use super::stream_window::StreamWindow;
+use super::{BodyError, Download, StreamShare};
 use crate::metrics::{InFlightRequest, RequestOutcome};
 use crate::socket::{NextFlush, Socket};
 use bytes::Bytes;
@@ -23,8 +24,7 @@
 /// A body that is forwarded while it is being received.
 struct StreamedContent {
     download: Box<Download>,
-    /// The client's connection.
-    socket: Socket,
+    window: StreamWindow,
     /// Counts the request in the metrics when the body ends.
     in_flight: InFlightRequest,
     /// Dropped when the body ends or the client disconnects.
@@ -57,12 +57,13 @@
     pub fn streamed(
         download: Box<Download>,
         socket: Socket,
+        share: StreamShare,
         in_flight: InFlightRequest,
         resources: Box<dyn Any>,
     ) -> Self {
         ResponseBody(Content::Streamed(StreamedContent {
             download,
-            socket,
+            window: StreamWindow::new(socket, share),
             in_flight,
             resources,
         }))
@@ -97,7 +98,11 @@
 
 impl StreamedContent {
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
-        let next = ready!(self.download.poll_data(cx));
+        ready!(self.window.poll_ready(cx));
+        let mut next = ready!(self.download.poll_data(cx));
+        if let Some(Ok(data)) = &mut next {
+            *data = self.window.admit(mem::take(data));
+        }
         match next {
             Some(Ok(_)) if !self.download.is_finished() => {}
             Some(Ok(_)) | None => self.in_flight.end(RequestOutcome::Served),
@@ -110,7 +115,7 @@
     fn fail(self, error: BodyError) -> FailedContent {
         FailedContent {
             error,
-            flush: self.socket.next_flush(),
+            flush: self.window.next_flush(),
             _resources: self.resources,
         }
     }
--- a/src/bin/load-balancer/body/response_body/tests.rs
+++ b/src/bin/load-balancer/body/response_body/tests.rs
@@ -1,7 +1,7 @@
 //! Unit tests of streamed responses whose upstream fails before their head has been written.
 
 use super::*;
-use crate::body::MAX_BODY_BYTES;
+use crate::body::{MemoryBudget, MAX_BODY_BYTES};
 use crate::metrics::Metrics;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -124,7 +124,9 @@
 ) -> ResponseBody {
     let download = Download::new(read_ahead, rest, length, oneshot::channel().0);
     let in_flight = Metrics::new(&["read".to_string()]).begin_request(0);
-    ResponseBody::streamed(Box::new(download), socket.clone(), in_flight, Box::new(()))
+    let share = MemoryBudget::new(32 << 20).begin_stream();
+    let socket = socket.clone();
+    ResponseBody::streamed(Box::new(download), socket, share, in_flight, Box::new(()))
 }
 
 /// A client whose request has run must not see its connection closed without a byte of a response:
--- a/src/bin/load-balancer/body/upload/mod.rs
+++ b/src/bin/load-balancer/body/upload/mod.rs
@@ -2,6 +2,7 @@
 
 use super::memory_budget::{MemoryBudget, ReadAheadReservation};
 use super::stall_timer::{frame_before, StallTimer};
+use super::stream_window::StreamWindow;
 use super::{BodyError, CLIENT_STALL_TIMEOUT, MAX_BODY_BYTES};
 use crate::shutdown_deadline::ShutdownDeadline;
 use crate::socket::RequestArrival;
@@ -156,6 +157,15 @@
         matches!(*self.remainder.borrow(), Remainder::Complete)
     }
 
+    fn is_abandoned(&self) -> bool {
+        matches!(*self.remainder.borrow(), Remainder::Abandoned(_))
+    }
+
+    /// Has the current task woken when the body is abandoned.
+    fn set_forwarding_task(&self, cx: &Context<'_>) {
+        self.forwarding_task.replace(Some(cx.waker().clone()));
+    }
+
     /// Returns whether the body can still be sent to an upstream from its beginning.
     #[must_use]
     pub fn is_replayable(&self) -> bool {
@@ -235,7 +245,7 @@
         };
         loop {
             let Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) else {
-                self.forwarding_task.replace(Some(cx.waker().clone()));
+                self.set_forwarding_task(cx);
                 return Poll::Pending;
             };
             let frame = match frame {
@@ -282,18 +292,26 @@
 pub struct UploadBody {
     upload: Rc<Upload>,
     is_read_ahead_sent: bool,
+    /// Limits what is buffered for the upstream; `None` if the body is complete from the start.
+    window: Option<StreamWindow>,
     /// Called with the body's length in bytes once all of it has been read.
     on_complete: Option<Box<dyn FnOnce(u64)>>,
     stall: StallTimer,
 }
 
 impl UploadBody {
-    /// Creates a body that sends `upload` from its beginning. `on_complete` is called with the
-    /// length in bytes once the client has sent the complete body, which may be immediately.
-    pub fn new(upload: Rc<Upload>, on_complete: impl FnOnce(u64) + 'static) -> Self {
+    /// Creates a body that sends `upload` from its beginning. What is buffered of the part that is
+    /// not read ahead is limited by `window`. `on_complete` is called with the length in bytes once
+    /// the client has sent the complete body, which may be immediately.
+    pub fn new(
+        upload: Rc<Upload>,
+        window: Option<StreamWindow>,
+        on_complete: impl FnOnce(u64) + 'static,
+    ) -> Self {
         let mut body = UploadBody {
             upload,
             is_read_ahead_sent: false,
+            window,
             on_complete: Some(Box::new(on_complete)),
             stall: StallTimer::new(CLIENT_STALL_TIMEOUT),
         };
@@ -314,6 +332,18 @@
         (!read_ahead.is_empty()).then_some(Ok(read_ahead))
     }
 
+    /// Waits until a further part may be handed to hyper, or the body is abandoned.
+    fn poll_window(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Some(window) = &mut self.window else {
+            return Poll::Ready(());
+        };
+        if window.poll_ready(cx).is_ready() || self.upload.is_abandoned() {
+            return Poll::Ready(());
+        }
+        self.upload.set_forwarding_task(cx);
+        Poll::Pending
+    }
+
     fn report_completion(&mut self) {
         if !self.upload.is_complete() {
             return;
@@ -335,12 +365,17 @@
         if let Some(read_ahead) = self.take_read_ahead() {
             return Poll::Ready(Some(read_ahead.map(Frame::data)));
         }
+        ready!(self.poll_window(cx));
         let upload = self.upload.clone();
         let part = upload.poll_remaining(cx);
         let total_limit = CLIENT_STALL_TIMEOUT + time_at_min_rate(upload.bytes_read.get());
         match ready!(self.stall.poll(cx, part, total_limit)) {
             Ok(Some(Ok(data))) => {
                 self.report_completion();
+                let data = match &mut self.window {
+                    Some(window) => window.admit(data),
+                    None => data,
+                };
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
             Ok(None) => {
--- a/src/bin/load-balancer/body/upload/tests.rs
+++ b/src/bin/load-balancer/body/upload/tests.rs
@@ -85,7 +85,7 @@
         .expect("not read");
     let (upload, is_reported) = (Rc::new(upload), Rc::new(Cell::new(false)));
     let on_complete = is_reported.clone();
-    let mut body = UploadBody::new(upload.clone(), move |_| on_complete.set(true));
+    let mut body = UploadBody::new(upload.clone(), None, move |_| on_complete.set(true));
     let mut forwarded = 0;
     while forwarded < SENT_BYTES {
         let frame = next_frame(&mut body).await.expect("the body has ended");
--- a/src/bin/load-balancer/server/handler.rs
+++ b/src/bin/load-balancer/server/handler.rs
@@ -140,6 +140,7 @@
             ResponseContent::Streamed(download) => ResponseBody::streamed(
                 download,
                 client.socket.clone(),
+                self.resources.memory.begin_stream(),
                 in_flight,
                 Box::new(StreamingGuard::begin(client)),
             ),
--- a/src/bin/load-balancer/socket/flush.rs
+++ b/src/bin/load-balancer/socket/flush.rs
@@ -32,12 +32,18 @@
 }
 
 impl NextFlush {
+    /// Returns whether the connection has been flushed.
+    #[must_use]
+    pub fn has_happened(&self) -> bool {
+        self.socket.0.flushes.count.get() > self.count_before
+    }
+
     /// Waits until the connection has been flushed.
     pub fn poll(&self, cx: &mut Context<'_>) -> Poll<()> {
-        let flushes = &self.socket.0.flushes;
-        if flushes.count.get() > self.count_before {
+        if self.has_happened() {
             return Poll::Ready(());
         }
+        let flushes = &self.socket.0.flushes;
         flushes.waiting.replace(Some(cx.waker().clone()));
         Poll::Pending
     }
--- a/src/bin/load-balancer/upstream/exchange.rs
+++ b/src/bin/load-balancer/upstream/exchange.rs
@@ -4,7 +4,7 @@
     read_response, Disposition, ReceivedResponse, MAX_HEAD_BYTES, MAX_OVERHEAD_BYTES,
 };
 use super::{Attempt, AttemptError, UpstreamResponse};
-use crate::body::UploadBody;
+use crate::body::{StreamWindow, UploadBody};
 use crate::socket::Socket;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::header::HeaderValue;
@@ -161,7 +161,10 @@
         let (socket, metrics) = (progress.socket.clone(), self.pool.metrics.clone());
         let min_request_length = progress.min_request_length.clone();
         let written_at_start = progress.written_at_start;
-        let body = UploadBody::new(self.request.upload.clone(), move |body_length| {
+        let upload = self.request.upload.clone();
+        let window = (!upload.is_complete())
+            .then(|| StreamWindow::new(socket.clone(), self.pool.memory.begin_stream()));
+        let body = UploadBody::new(upload, window, move |body_length| {
             min_request_length.set(head_length + body_length as usize);
             socket.set_request_end(written_at_start + min_request_length.get(), metrics);
         });
--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -299,18 +299,20 @@
 
     /// Returns the peak resident memory of the process, in bytes.
     pub fn peak_memory_bytes(&self) -> usize {
+        self.memory_bytes("VmHWM:")
+    }
+
+    /// Returns the anonymous part of the resident memory of the process, in bytes.
+    pub fn anonymous_memory_bytes(&self) -> usize {
+        self.memory_bytes("RssAnon:")
+    }
+
+    /// Returns the size in this field of `/proc/<pid>/status`, in bytes.
+    fn memory_bytes(&self, field: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))
-            .unwrap();
-        line.trim()
-            .split(' ')
-            .next()
-            .unwrap()
-            .parse::<usize>()
-            .unwrap()
-            << 10
+        let size = status.lines().find_map(|line| line.strip_prefix(field));
+        let kilobytes = size.unwrap().trim().split(' ').next().unwrap();
+        kilobytes.parse::<usize>().unwrap() << 10
     }
 
     /// Returns how many descriptors the process has open.
