Release the buffers of a connection that are empty, and allocate no more than needed

Cause, one part of it: the buffer for input that is read ahead kept up to 512 KiB (after doubling 1 MiB) when it was empty, while its connection lived; a body that was read ahead kept up to twice its size; the recent bytes of a connection held its body, which nobody reads; a lingering connection buffered the input that it discards.

Change: empty buffers are released, buffers grow by an eighth, and only bytes behind the body are stored.

The unit tests of the read-ahead buffer and of the recent bytes fail on the old code, which has neither.

--- a/src/bin/load-balancer/body/upload/mod.rs
+++ b/src/bin/load-balancer/body/upload/mod.rs
@@ -116,13 +116,18 @@
                 return Ok(Self::complete(read_ahead, reservation, arrival));
             };
             if let Ok(data) = frame.map_err(|_| BodyError::Truncated)?.into_data() {
-                read_ahead.extend(data);
+                let expected = reservation.max_bytes();
+                append(
+                    &mut read_ahead,
+                    &data,
+                    length.map_or(expected, |length| length as usize),
+                );
             }
         }
         if body.is_end_stream() {
             return Ok(Self::complete(read_ahead, reservation, arrival));
         }
-        let read_ahead = reservation.attach(read_ahead.freeze());
+        let read_ahead = reservation.attach(into_bytes(read_ahead));
         let remainder = Remainder::Receiving(body);
         Ok(Self::new(read_ahead, remainder, length, arrival))
     }
@@ -134,7 +139,7 @@
         arrival: RequestArrival,
     ) -> Self {
         let length = read_ahead.len() as u64;
-        let read_ahead = reservation.attach(read_ahead.freeze());
+        let read_ahead = reservation.attach(into_bytes(read_ahead));
         Self::new(read_ahead, Remainder::Complete, Some(length), arrival)
     }
 
@@ -283,6 +288,28 @@
     }
 }
 
+/// Appends `data` to the beginning of a body that is expected to have `expected` bytes. The buffer
+/// grows by doubling, but not beyond what is expected, so that little of it is unused.
+fn append(read_ahead: &mut BytesMut, data: &[u8], expected: usize) {
+    let needed = read_ahead.len() + data.len();
+    if needed > read_ahead.capacity() {
+        let capacity = needed.max(expected.min(2 * read_ahead.capacity()));
+        let mut grown = BytesMut::with_capacity(capacity);
+        grown.extend_from_slice(read_ahead);
+        *read_ahead = grown;
+    }
+    read_ahead.extend_from_slice(data);
+}
+
+/// Returns the bytes in a buffer without unused capacity.
+fn into_bytes(read_ahead: BytesMut) -> Bytes {
+    if read_ahead.len() == read_ahead.capacity() {
+        read_ahead.freeze()
+    } else {
+        Bytes::copy_from_slice(&read_ahead)
+    }
+}
+
 /// Returns how long `bytes` bytes take at the minimum rate.
 fn time_at_min_rate(bytes: u64) -> Duration {
     Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_SECOND)
--- a/src/bin/load-balancer/server/connection/mod.rs
+++ b/src/bin/load-balancer/server/connection/mod.rs
@@ -136,6 +136,9 @@
     /// Records the current request's end as an offset in the bytes received on the connection.
     pub(super) fn set_request_end(&self, end_offset: Option<usize>) {
         self.request.end_offset.set(end_offset);
+        if let Some(end_offset) = end_offset {
+            self.socket.skip_recent_bytes_until(end_offset);
+        }
     }
 
     /// Records that the current request has passed validation.
--- a/src/bin/load-balancer/server/request.rs
+++ b/src/bin/load-balancer/server/request.rs
@@ -69,11 +69,11 @@
         let (head, body) = request.into_parts();
         let validated = self.validate_head(&head, &client.socket)?;
         let end_offset = validated.framing.end_offset(&body);
+        client.set_request_end(end_offset);
         let arrival = RequestArrival::new(client.socket.peer(), end_offset);
         let upload = self
             .receive_body(body, client, received_at, arrival)
             .await?;
-        client.set_request_end(end_offset);
         let forwarded_request = self.forwarded_request(head, upload, validated.timeout, client)?;
         Ok(ValidatedRequest {
             client_request_id: validated.request_id,
--- a/src/bin/load-balancer/socket/client_input.rs
+++ b/src/bin/load-balancer/socket/client_input/mod.rs
@@ -1,6 +1,6 @@
 //! The recent input of a client's connection, when it was sent, and when its current request began.
 
-use super::arrival::ArrivalEstimator;
+use crate::socket::arrival::ArrivalEstimator;
 use std::cell::{Cell, Ref, RefCell, RefMut};
 use tokio::time::Instant;
 
@@ -9,20 +9,23 @@
 
 /// The recent input of a client's connection. Connections of other kinds store no bytes.
 #[derive(Debug)]
-pub(super) struct ClientInput {
+pub(in crate::socket) struct ClientInput {
     recent_bytes: RefCell<Vec<u8>>,
     /// Whether input is stored: true only on connections of clients.
     records_bytes: bool,
+    /// Input before this offset belongs to the body of the current request and is not stored.
+    body_end_offset: Cell<usize>,
     /// When the first byte of the current request was read; `None` on an idle connection.
     request_started_at: Cell<Option<Instant>>,
     arrivals: RefCell<ArrivalEstimator>,
 }
 
 impl ClientInput {
-    pub(super) fn new(records_bytes: bool) -> Self {
+    pub(in crate::socket) fn new(records_bytes: bool) -> Self {
         ClientInput {
             recent_bytes: RefCell::default(),
             records_bytes,
+            body_end_offset: Cell::new(0),
             request_started_at: Cell::new(None),
             arrivals: RefCell::default(),
         }
@@ -30,44 +33,63 @@
 
     /// Records the current time as the start of a request, unless a start is already recorded. A
     /// `count` of 0 means the end of the input and has no effect.
-    pub(super) fn record_read(&self, count: usize) {
+    pub(in crate::socket) fn record_read(&self, count: usize) {
         if count > 0 && self.request_started_at.get().is_none() {
             self.request_started_at.set(Some(Instant::now()));
         }
     }
 
-    /// Appends to the recent bytes, and drops the oldest ones beyond [`MAX_RECENT_BYTES`].
-    pub(super) fn record_bytes(&self, bytes: &[u8]) {
+    /// Appends to the recent bytes, and drops the oldest ones beyond [`MAX_RECENT_BYTES`]. The last
+    /// one of `bytes` is before `end_offset` in the input.
+    pub(in crate::socket) fn record_bytes(&self, bytes: &[u8], end_offset: usize) {
         if !self.records_bytes {
             return;
         }
+        let stored = end_offset.saturating_sub(self.body_end_offset.get());
+        let stored = stored.min(bytes.len()).min(MAX_RECENT_BYTES);
+        let bytes = &bytes[bytes.len() - stored..];
         let mut recent = self.recent_bytes.borrow_mut();
-        let bytes = &bytes[bytes.len().saturating_sub(MAX_RECENT_BYTES)..];
         let excess = (recent.len() + bytes.len()).saturating_sub(MAX_RECENT_BYTES);
         recent.drain(..excess);
+        if recent.capacity() < recent.len() + bytes.len() {
+            recent.reserve_exact(bytes.len());
+        }
         recent.extend_from_slice(bytes);
     }
 
-    pub(super) fn recent_bytes(&self) -> Ref<'_, Vec<u8>> {
+    pub(in crate::socket) fn recent_bytes(&self) -> Ref<'_, Vec<u8>> {
         self.recent_bytes.borrow()
     }
 
-    pub(super) fn clear_recent_bytes(&self) {
-        self.recent_bytes.borrow_mut().clear();
+    /// Drops the recent bytes before `body_end_offset`, the end of the current request, and stores
+    /// none before it. `end_offset` is the end of the input that has been read.
+    pub(in crate::socket) fn skip_until(&self, body_end_offset: usize, end_offset: usize) {
+        self.body_end_offset.set(body_end_offset);
+        let following = end_offset.saturating_sub(body_end_offset);
+        let mut recent = self.recent_bytes.borrow_mut();
+        let excess = recent.len().saturating_sub(following);
+        *recent = recent.split_off(excess);
+    }
+
+    pub(in crate::socket) fn clear_recent_bytes(&self) {
+        self.recent_bytes.take();
     }
 
     /// Returns the estimator of when the input was sent.
-    pub(super) fn arrivals(&self) -> RefMut<'_, ArrivalEstimator> {
+    pub(in crate::socket) fn arrivals(&self) -> RefMut<'_, ArrivalEstimator> {
         self.arrivals.borrow_mut()
     }
 
-    pub(super) fn request_started_at(&self) -> Option<Instant> {
+    pub(in crate::socket) fn request_started_at(&self) -> Option<Instant> {
         self.request_started_at.get()
     }
 
     /// Marks the connection as idle: the next byte read belongs to a new request.
-    pub(super) fn mark_idle(&self) {
+    pub(in crate::socket) fn mark_idle(&self) {
         self.request_started_at.set(None);
         self.arrivals.borrow_mut().end_request();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/load-balancer/socket/closing.rs
+++ b/src/bin/load-balancer/socket/closing.rs
@@ -92,6 +92,9 @@
         // Fails only if the connection has failed or its sending half is already shut down.
         let _ = SockRef::from(&self.0.stream).shutdown(Shutdown::Write);
         let is_discarding = unread == UnreadInput::Discard;
+        if is_discarding {
+            self.0.read_ahead.discard();
+        }
         self.set_read_ahead(is_discarding);
         if !is_discarding && !self.has_unread() {
             return;
--- a/src/bin/load-balancer/socket/connection.rs
+++ b/src/bin/load-balancer/socket/connection.rs
@@ -181,6 +181,13 @@
         self.0.client_input.recent_bytes()
     }
 
+    /// Drops the recent bytes before `end_offset`, the end of the current request in the input, and
+    /// stores none before it.
+    pub fn skip_recent_bytes_until(&self, end_offset: usize) {
+        let bytes_read = self.bytes_read();
+        self.0.client_input.skip_until(end_offset, bytes_read);
+    }
+
     /// Clears the recent bytes.
     pub fn clear_recent_bytes(&self) {
         self.0.client_input.clear_recent_bytes();
--- a/src/bin/load-balancer/socket/io.rs
+++ b/src/bin/load-balancer/socket/io.rs
@@ -25,7 +25,9 @@
         self.0.received.add(count);
         self.0.client_input.record_read(count);
         self.0.exchange.check_received(self.bytes_read())?;
-        self.0.client_input.record_bytes(&bytes[..count]);
+        self.0
+            .client_input
+            .record_bytes(&bytes[..count], self.bytes_read());
         buffer.put_slice(&bytes[..count]);
         Poll::Ready(Ok(()))
     }
--- a/src/bin/load-balancer/socket/read_ahead.rs
+++ b/src/bin/load-balancer/socket/read_ahead/mod.rs
@@ -15,10 +15,14 @@
 const MAX_READ_AHEAD_BYTES_UNDER_PRESSURE: usize = 16 << 10;
 /// Once all connections together buffer this many bytes, the lower limit applies to each of them.
 const READ_AHEAD_PRESSURE_BYTES: usize = 2 << 20;
+/// A buffer grows by at least this number of bytes, or by its size divided by [`GROWTH_DIVISOR`], so
+/// that little of what is allocated is unused.
+const MIN_GROWTH_BYTES: usize = 4 << 10;
+const GROWTH_DIVISOR: usize = 8;
 
 /// The number of bytes that all connections together have read ahead and still buffer.
 #[derive(Debug, Default)]
-pub(super) struct ReadAheadUsage(Cell<usize>);
+pub(in crate::socket) struct ReadAheadUsage(Cell<usize>);
 
 impl ReadAheadUsage {
     fn add(&self, bytes: usize) {
@@ -41,7 +45,7 @@
 
 /// The read-ahead buffer of one connection. Its bytes precede those that are still in the kernel.
 #[derive(Debug)]
-pub(super) struct ReadAheadBuffer {
+pub(in crate::socket) struct ReadAheadBuffer {
     bytes: RefCell<VecDeque<u8>>,
     /// Whether bytes were dropped because the limit was reached. The input then ends after the
     /// buffered bytes.
@@ -52,7 +56,7 @@
 }
 
 impl ReadAheadBuffer {
-    pub(super) fn new(usage: Rc<ReadAheadUsage>) -> Self {
+    pub(in crate::socket) fn new(usage: Rc<ReadAheadUsage>) -> Self {
         ReadAheadBuffer {
             bytes: RefCell::default(),
             is_truncated: Cell::new(false),
@@ -61,20 +65,20 @@
         }
     }
 
-    pub(super) fn set_enabled(&self, enabled: bool) {
+    pub(in crate::socket) fn set_enabled(&self, enabled: bool) {
         self.is_enabled.set(enabled);
     }
 
-    pub(super) fn is_enabled(&self) -> bool {
+    pub(in crate::socket) fn is_enabled(&self) -> bool {
         self.is_enabled.get()
     }
 
-    pub(super) fn is_empty(&self) -> bool {
+    pub(in crate::socket) fn is_empty(&self) -> bool {
         self.bytes.borrow().is_empty()
     }
 
     /// Appends input. Bytes beyond the limit are dropped, and so is all input after them.
-    pub(super) fn append(&self, input: &[u8]) {
+    pub(in crate::socket) fn append(&self, input: &[u8]) {
         let mut bytes = self.bytes.borrow_mut();
         let free = if self.is_truncated.get() {
             0
@@ -82,6 +86,10 @@
             self.usage.connection_limit().saturating_sub(bytes.len())
         };
         let accepted = input.len().min(free);
+        if bytes.capacity() - bytes.len() < accepted {
+            let growth = MIN_GROWTH_BYTES.max(bytes.len() / GROWTH_DIVISOR);
+            bytes.reserve_exact(accepted.max(growth));
+        }
         bytes.extend(&input[..accepted]);
         self.usage.add(accepted);
         if accepted < input.len() {
@@ -89,9 +97,16 @@
         }
     }
 
+    /// Drops the buffered bytes, and all input from now on.
+    pub(in crate::socket) fn discard(&self) {
+        let bytes = self.bytes.take();
+        self.usage.subtract(bytes.len());
+        self.is_truncated.set(true);
+    }
+
     /// Moves buffered bytes to `target` and returns how many. Once the buffer is empty, returns 0
     /// (the end of input) if input was dropped, or `None` if input is to be read from the kernel.
-    pub(super) fn take(&self, target: &mut [u8]) -> Option<usize> {
+    pub(in crate::socket) fn take(&self, target: &mut [u8]) -> Option<usize> {
         let mut bytes = self.bytes.borrow_mut();
         if bytes.is_empty() {
             return self.is_truncated.get().then_some(0);
@@ -101,6 +116,10 @@
         for (to, from) in target.iter_mut().zip(bytes.drain(..count)) {
             *to = from;
         }
+        if bytes.is_empty() {
+            // Releases the memory, as the connection may stay idle for long.
+            *bytes = VecDeque::new();
+        }
         Some(count)
     }
 }
@@ -110,3 +129,6 @@
         self.usage.subtract(self.bytes.borrow().len());
     }
 }
+
+#[cfg(test)]
+mod tests;
