Limit the memory that clients take by what is allocated and resident

Cause: memory was limited by purpose (bodies read ahead, streams), and what has no budget grew with each connection: hyper's read buffer of up to 48 KiB for a head, copies of the headers, input behind a request.

Change: MemoryLimit counts all that is allocated (crate cap) and, while that is much, what is resident. All places that take memory for a client ask it. When memory is short, idle and slow clients are closed, the latter with a 503; when it is nearly used up, requests are rejected with 503 and heads beyond 8 KiB aren't read. Both processes of an upgrade get half. Metrics: heap_bytes, heap_limit_bytes, refused_memory, and the reasons for closes.

--- a/src/bin/load-balancer/body/memory_budget/mod.rs
+++ b/src/bin/load-balancer/body/memory_budget/mod.rs
@@ -1,6 +1,7 @@
 //! The memory for bodies: what is read ahead of them, and what is buffered while they are streamed.
 
 use super::READ_AHEAD_BYTES;
+use crate::memory::{MemoryLimit, MemoryPressure};
 use bytes::Bytes;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -22,6 +23,7 @@
 /// body for which no memory is free is streamed after its first part.
 #[derive(Debug)]
 pub struct MemoryBudget {
+    limit: Rc<MemoryLimit>,
     total_bytes: usize,
     free: Arc<Semaphore>,
     shortages: Cell<u64>,
@@ -59,10 +61,11 @@
 impl MemoryBudget {
     /// Creates the budget for a process that may use `process_bytes` bytes in total.
     #[must_use]
-    pub fn new(process_bytes: usize) -> Rc<Self> {
+    pub fn new(process_bytes: usize, limit: Rc<MemoryLimit>) -> Rc<Self> {
         let bytes =
             (process_bytes / MEMORY_DIVISOR).clamp(READ_AHEAD_BYTES, Semaphore::MAX_PERMITS);
         Rc::new(MemoryBudget {
+            limit,
             total_bytes: bytes,
             free: Arc::new(Semaphore::new(bytes)),
             shortages: Cell::new(0),
@@ -91,15 +94,14 @@
     }
 
     /// Reserves memory for reading ahead a body of `length` bytes (`None`: unknown), but at most
-    /// [`READ_AHEAD_BYTES`]. If that much memory is not free, the reservation only allows
-    /// [`UNRESERVED_READ_AHEAD_BYTES`].
+    /// [`READ_AHEAD_BYTES`]. If that much memory is not free, or the process is short of memory, the
+    /// reservation only allows [`UNRESERVED_READ_AHEAD_BYTES`].
     #[must_use]
     pub fn reserve(&self, length: Option<u64>) -> ReadAheadReservation {
         let needed_bytes = length.map_or(READ_AHEAD_BYTES, |length| {
             (length as usize).min(READ_AHEAD_BYTES)
         });
-        let memory = self.free.clone();
-        if let Ok(memory) = memory.try_acquire_many_owned(needed_bytes as u32) {
+        if let Some(memory) = self.try_reserve(needed_bytes) {
             return ReadAheadReservation {
                 max_bytes: READ_AHEAD_BYTES,
                 memory: Some(memory),
@@ -111,6 +113,13 @@
             memory: None,
         }
     }
+
+    fn try_reserve(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        if self.limit.check() >= MemoryPressure::High {
+            return None;
+        }
+        self.free.clone().try_acquire_many_owned(bytes as u32).ok()
+    }
 }
 
 impl StreamShare {
--- a/src/bin/load-balancer/dispatch/mod.rs
+++ b/src/bin/load-balancer/dispatch/mod.rs
@@ -143,6 +143,8 @@
             excluded_upstreams: self.balancer.excluded_upstreams(),
             read_ahead_bytes: self.resources.memory.reserved_bytes(),
             read_ahead_shortages: self.resources.memory.shortages(),
+            heap_bytes: self.resources.memory_limit.heap_bytes(),
+            heap_limit_bytes: self.resources.memory_limit.heap_limit_bytes(),
         })
     }
 
--- a/src/bin/load-balancer/handover/mod.rs
+++ b/src/bin/load-balancer/handover/mod.rs
@@ -1,8 +1,8 @@
 //! Handover: an upgrade without lost clients, in which a successor process starts while its
 //! predecessor still runs and takes over from it.
 //!
-//! The two processes connect through a Unix socket in `$TMPDIR` and share the descriptor limit of
-//! one balancer. Maintenance and learned state are stored in a file in the same folder.
+//! The two processes connect through a Unix socket in `$TMPDIR` and share the descriptors and the
+//! memory of one balancer. Maintenance and learned state are stored in a file in the same folder.
 
 mod folder;
 mod message;
@@ -18,6 +18,8 @@
 use crate::handover::state_file::StateError;
 use crate::handover::state_store::{StateStore, STATE_WRITE_RETRY_INTERVAL};
 use crate::log;
+use crate::memory::MemoryLimit;
+use crate::resources::Resources;
 use crate::server::Server;
 use crate::socket::DescriptorBudget;
 use load_balancer::Maintenance;
@@ -88,6 +90,7 @@
     store: StateStore,
     server: Rc<Server>,
     descriptors: Rc<DescriptorBudget>,
+    memory_limit: Rc<MemoryLimit>,
     /// Maximum number of descriptors that both processes may use together.
     max_descriptors: usize,
     peer: RefCell<Peer>,
@@ -101,7 +104,7 @@
         address: SocketAddr,
         dispatcher: Rc<RefCell<Dispatcher>>,
         server: Rc<Server>,
-        descriptors: Rc<DescriptorBudget>,
+        resources: &Resources,
         max_descriptors: usize,
     ) -> Rc<Self> {
         let folder = Rc::new(HandoverFolder::new(folder, address));
@@ -109,7 +112,8 @@
             store: StateStore::new(folder.clone(), dispatcher),
             folder,
             server,
-            descriptors,
+            descriptors: resources.descriptors.clone(),
+            memory_limit: resources.memory_limit.clone(),
             max_descriptors,
             peer: RefCell::new(Peer::Absent),
         })
@@ -274,6 +278,7 @@
     fn attach_peer(self: &Rc<Self>, stream: UnixStream, descriptors_reported: Rc<Notify>) {
         let (connection, messages) = PeerConnection::open(stream);
         *self.peer.borrow_mut() = Peer::Connected(connection);
+        self.memory_limit.set_process_count(2);
         let handover = self.clone();
         spawn_local(async move {
             handover
@@ -293,6 +298,7 @@
         ));
         let peer = self.peer.replace(Peer::Absent);
         self.descriptors.set_limit(limit);
+        self.memory_limit.set_process_count(1);
         if matches!(peer, Peer::Accepting(_)) {
             // The successor has replaced the handover socket with its own.
             self.announce_listening(address);
--- a/src/bin/load-balancer/main.rs
+++ b/src/bin/load-balancer/main.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod handover;
 mod log;
+mod memory;
 mod metrics;
 mod process;
 mod reload;
--- a/src/bin/load-balancer/metrics/mod.rs
+++ b/src/bin/load-balancer/metrics/mod.rs
@@ -15,6 +15,19 @@
     Failed,
 }
 
+/// Why a client connection was closed, other than after its last response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client was idle, or made no progress, for too long.
+    Stalled,
+    /// The client disconnected while its request awaited a response.
+    Disconnected,
+    /// The descriptor or the memory was needed for another connection.
+    Evicted,
+    /// The head of a request was not read to its end, because the process was short of memory.
+    HeadRefused,
+}
+
 /// The number of requests of one class that ended with each outcome.
 #[derive(Debug)]
 struct ClassMetrics {
@@ -54,6 +67,10 @@
     pub read_ahead_bytes: usize,
     /// The number of bodies so far for which that memory was not free.
     pub read_ahead_shortages: u64,
+    /// The memory that is allocated on the heap, in bytes.
+    pub heap_bytes: usize,
+    /// The memory that may be allocated on the heap, in bytes.
+    pub heap_limit_bytes: usize,
 }
 
 /// Counters since the start of the process, and the number of requests in flight.
@@ -62,6 +79,10 @@
     classes: RefCell<Vec<ClassMetrics>>,
     attempts: Cell<u64>,
     in_flight: Cell<u64>,
+    /// The number of connections that were closed for each [`CloseReason`].
+    closes: [Cell<u64>; 4],
+    /// The number of requests that were rejected for lack of memory.
+    memory_rejections: Cell<u64>,
 }
 
 impl Metrics {
@@ -72,6 +93,8 @@
             classes: RefCell::new(classes),
             attempts: Cell::new(0),
             in_flight: Cell::new(0),
+            closes: Default::default(),
+            memory_rejections: Cell::new(0),
         })
     }
 
@@ -91,6 +114,17 @@
         self.attempts.set(self.attempts.get() + 1);
     }
 
+    /// Counts a client connection that is closed for this reason.
+    pub fn count_close(&self, reason: CloseReason) {
+        let count = &self.closes[reason as usize];
+        count.set(count.get() + 1);
+    }
+
+    /// Counts a request that is rejected for lack of memory.
+    pub fn count_memory_rejection(&self) {
+        self.memory_rejections.set(self.memory_rejections.get() + 1);
+    }
+
     /// Returns all metrics in the statsd format, one per line, with the current state of the other
     /// modules.
     pub fn render(&self, state: &ProcessState) -> String {
@@ -111,6 +145,13 @@
         write_metric("upstreams_excluded", state.excluded_upstreams as u64, 'g');
         write_metric("read_ahead_bytes", state.read_ahead_bytes as u64, 'g');
         write_metric("read_ahead_shortages", state.read_ahead_shortages, 'c');
+        write_metric("heap_bytes", state.heap_bytes as u64, 'g');
+        write_metric("heap_limit_bytes", state.heap_limit_bytes as u64, 'g');
+        write_metric("refused_memory", self.memory_rejections.get(), 'c');
+        let reasons = ["stalled", "disconnected", "evicted", "head_refused"];
+        for (reason, count) in reasons.into_iter().zip(&self.closes) {
+            write_metric(&format!("closed_{reason}"), count.get(), 'c');
+        }
         text
     }
 }
--- a/src/bin/load-balancer/process.rs
+++ b/src/bin/load-balancer/process.rs
@@ -131,7 +131,7 @@
             address,
             dispatcher.clone(),
             server.clone(),
-            resources.descriptors.clone(),
+            &resources,
             max_descriptors,
         );
         if let Some(listener) = admin_listener {
@@ -145,6 +145,7 @@
             );
             spawn_local(admin.accept(listener));
         }
+        spawn_local(server.clone().reclaim_memory());
         spawn_local(close_expired_connections(resources.pool));
         Ok(Process {
             name,
--- a/src/bin/load-balancer/resources.rs
+++ b/src/bin/load-balancer/resources.rs
@@ -3,6 +3,7 @@
 
 use crate::body::MemoryBudget;
 use crate::config::Config;
+use crate::memory::MemoryLimit;
 use crate::metrics::Metrics;
 use crate::socket::{AdminEndpoint, DescriptorBudget};
 use crate::upstream::ConnectionPool;
@@ -13,6 +14,8 @@
 pub struct Resources {
     /// The budget of file descriptors of the process.
     pub descriptors: Rc<DescriptorBudget>,
+    /// The limit on the memory of the process.
+    pub memory_limit: Rc<MemoryLimit>,
     /// The budget of memory for the read-ahead of bodies.
     pub memory: Rc<MemoryBudget>,
     /// Counters of request outcomes and of attempts.
@@ -30,7 +33,8 @@
             None => AdminEndpoint::Absent,
         };
         let descriptors = DescriptorBudget::new(config.max_descriptors, admin);
-        let memory = MemoryBudget::new(config.memory_bytes);
+        let memory_limit = MemoryLimit::new(config.memory_bytes);
+        let memory = MemoryBudget::new(config.memory_bytes, memory_limit.clone());
         let metrics = Metrics::new(&config.names.classes);
         let limits = &config.settings.limits;
         let pool = Rc::new(ConnectionPool::new(
@@ -42,6 +46,7 @@
         ));
         Resources {
             descriptors,
+            memory_limit,
             memory,
             metrics,
             pool,
--- a/src/bin/load-balancer/server/accept.rs
+++ b/src/bin/load-balancer/server/accept.rs
@@ -2,6 +2,7 @@
 
 use crate::log;
 use crate::server::connection::ClientConnection;
+use crate::server::connection_table::EvictionPurpose;
 use crate::server::listener::{Listener, PendingConnection};
 use crate::server::Server;
 use crate::socket::system_errors::{is_connection_error, is_descriptor_limit};
@@ -109,7 +110,9 @@
         self.log_accept_error(error);
         shortage.record_failure();
         if shortage.is_persistent() && is_descriptor_limit(error) {
-            self.connections.evict_one().await;
+            self.connections
+                .evict_one(EvictionPurpose::Descriptor)
+                .await;
         }
         if shortage.consecutive_failures == 1 {
             yield_now().await;
@@ -140,7 +143,12 @@
         let Some(permit) = self.acquire_permit().await else {
             return;
         };
-        let socket = Socket::of_client(stream, permit.descriptor, self.receive_clock.clone());
+        let socket = Socket::of_client(
+            stream,
+            permit.descriptor,
+            self.receive_clock.clone(),
+            self.resources.memory_limit.clone(),
+        );
         let client = ClientConnection::new(socket);
         let id = self.connections.insert(client.clone());
         spawn_local(self.clone().serve(id, client, permit.admission));
--- a/src/bin/load-balancer/server/capacity.rs
+++ b/src/bin/load-balancer/server/capacity.rs
@@ -1,6 +1,8 @@
 //! Admission of client connections: evicts idle connections to stay within the descriptor budget.
 
+use crate::memory::MemoryPressure;
 use crate::server::connection::{ClientConnection, Phase};
+use crate::server::connection_table::EvictionPurpose;
 use crate::server::Server;
 use crate::socket::{DescriptorPermit, Purpose};
 use tokio::task::yield_now;
@@ -32,7 +34,7 @@
     /// `descriptors` descriptors or no connection can be closed.
     pub async fn evict_down_to(&self, descriptors: usize) {
         while self.resources.descriptors.in_use() > descriptors
-            && (self.resources.pool.evict_oldest() || self.connections.evict_one().await)
+            && (self.resources.pool.evict_oldest() || self.evict_for_descriptor().await)
         {}
     }
 
@@ -40,12 +42,18 @@
     /// Returns `None` if there is no descriptor even for a rejection. Never waits for a client to
     /// act: a silent client would block all connections queued after it.
     pub(super) async fn acquire_permit(&self) -> Option<ConnectionPermit> {
-        if let Some(permit) = self.try_acquire_permit(Admission::WithinCapacity) {
+        let has_memory = self.make_memory_available().await;
+        let admission = if has_memory {
+            Admission::WithinCapacity
+        } else {
+            Admission::OverCapacity
+        };
+        if let Some(permit) = self.try_acquire_permit(admission) {
             return Some(permit);
         }
         for _ in 0..MAX_PERMIT_ATTEMPTS {
-            if self.connections.evict_one().await {
-                if let Some(permit) = self.try_acquire_permit(Admission::WithinCapacity) {
+            if self.evict_for_descriptor().await {
+                if let Some(permit) = self.try_acquire_permit(admission) {
                     return Some(permit);
                 }
             }
@@ -57,6 +65,25 @@
         None
     }
 
+    /// Evicts the connection of an idle or slow client if memory is short, so that a new connection
+    /// takes no more. Returns false if memory is so short that the connection can only be rejected.
+    async fn make_memory_available(&self) -> bool {
+        match self.resources.memory_limit.check() {
+            MemoryPressure::None => true,
+            MemoryPressure::High => {
+                self.evict_for_memory().await;
+                true
+            }
+            MemoryPressure::Critical => self.evict_for_memory().await,
+        }
+    }
+
+    async fn evict_for_descriptor(&self) -> bool {
+        self.connections
+            .evict_one(EvictionPurpose::Descriptor)
+            .await
+    }
+
     fn try_acquire_permit(&self, admission: Admission) -> Option<ConnectionPermit> {
         let purpose = match admission {
             Admission::WithinCapacity => Purpose::ClientConnection,
@@ -76,7 +103,7 @@
         // Excludes this connection from eviction.
         client.enter(Phase::AwaitingCapacity);
         while self.resources.descriptors.is_rejection_reserve_in_use() {
-            if !self.connections.evict_one().await {
+            if !self.evict_for_descriptor().await {
                 return false;
             }
         }
--- a/src/bin/load-balancer/server/connection/mod.rs
+++ b/src/bin/load-balancer/server/connection/mod.rs
@@ -5,6 +5,7 @@
 mod stall;
 
 use crate::server::connection::signals::{CloseSignal, EvictionSignal};
+use crate::server::connection_table::EvictionPurpose;
 use crate::server::timeouts::REQUEST_ARRIVAL_TIMEOUT;
 use crate::socket::Socket;
 use std::cell::Cell;
@@ -57,6 +58,19 @@
     }
 }
 
+/// What a connection does when it is asked to be evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EvictionResponse {
+    /// A request has been received in the meantime, so the connection stays open.
+    Stay,
+    /// The connection is closed.
+    Close,
+    /// The connection is closed after an error response to a request whose head is incomplete.
+    Reject,
+    /// The body that is being received fails, so that its request gets an error response.
+    FailBody,
+}
+
 /// The requests that a connection has carried so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RequestHistory {
@@ -220,11 +234,27 @@
         self.phase() == Phase::StreamingResponse && !self.has_pipelined_bytes() || is_idle
     }
 
-    /// Decides on a requested eviction. Returns true if the connection can be closed because no
-    /// request has been received in the meantime.
-    pub(super) fn accepts_eviction(&self) -> bool {
-        self.eviction.acknowledge();
-        self.phase().idle_since().is_some() && !self.socket.has_unread()
+    /// Decides on a requested eviction.
+    pub(super) fn respond_to_eviction(&self) -> EvictionResponse {
+        let is_for_memory = self.eviction.acknowledge() == Some(EvictionPurpose::Memory);
+        match self.phase() {
+            Phase::ReceivingBody if is_for_memory => EvictionResponse::FailBody,
+            _ if self.phase().idle_since().is_none() || self.socket.has_unread() => {
+                EvictionResponse::Stay
+            }
+            Phase::AwaitingRequest { .. }
+                if is_for_memory && self.socket.request_started_at().is_some() =>
+            {
+                EvictionResponse::Reject
+            }
+            _ => EvictionResponse::Close,
+        }
+    }
+
+    /// Returns whether reading the head of a request was ended for lack of memory.
+    pub(super) fn is_head_refused(&self) -> bool {
+        let awaits_request = matches!(self.phase(), Phase::AwaitingRequest { .. });
+        awaits_request && self.socket.is_input_aborted()
     }
 
     /// Returns the deadline for receiving the first request, or `None` if a request has been
--- a/src/bin/load-balancer/server/connection/signals.rs
+++ b/src/bin/load-balancer/server/connection/signals.rs
@@ -1,5 +1,6 @@
 //! Signals by which other tasks request that a connection's task close the connection.
 
+use crate::server::connection_table::EvictionPurpose;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -39,7 +40,8 @@
 /// received.
 #[derive(Default)]
 pub(in crate::server) struct EvictionSignal {
-    is_pending: Cell<bool>,
+    /// The purpose of the requested eviction; `None` if none is pending.
+    pending: Cell<Option<EvictionPurpose>>,
     notify: Notify,
     decided: Rc<Notify>,
 }
@@ -48,15 +50,15 @@
     /// Requests the eviction. The returned `Notify` is notified once the connection's task has
     /// decided; if the connection was closed, it has been removed from the connection table by
     /// then.
-    pub(in crate::server) fn request(&self) -> Rc<Notify> {
-        self.is_pending.set(true);
+    pub(in crate::server) fn request(&self, purpose: EvictionPurpose) -> Rc<Notify> {
+        self.pending.set(Some(purpose));
         self.notify.notify_one();
         self.decided.clone()
     }
 
     /// Returns whether an eviction is requested that the connection's task has yet to acknowledge.
     pub(in crate::server) fn is_pending(&self) -> bool {
-        self.is_pending.get()
+        self.pending.get().is_some()
     }
 
     /// Waits until the eviction is requested.
@@ -64,9 +66,9 @@
         self.notify.notified().await;
     }
 
-    /// Acknowledges the requested eviction; called by the connection's task.
-    pub(super) fn acknowledge(&self) {
-        self.is_pending.set(false);
+    /// Acknowledges the requested eviction, and returns its purpose; called by the connection's task.
+    pub(super) fn acknowledge(&self) -> Option<EvictionPurpose> {
+        self.pending.take()
     }
 
     /// Wakes the task that requested the eviction.
--- a/src/bin/load-balancer/server/connection_table.rs
+++ b/src/bin/load-balancer/server/connection_table.rs
@@ -8,6 +8,15 @@
 /// Identifies a connection; ids are assigned in the order in which connections are accepted.
 pub(super) type ConnectionId = u64;
 
+/// What connections are evicted for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EvictionPurpose {
+    /// A descriptor, for a connection that may carry a request.
+    Descriptor,
+    /// Memory. Only clients that are idle or send slowly are evicted.
+    Memory,
+}
+
 /// All open client connections.
 #[derive(Default)]
 pub(super) struct ConnectionTable {
@@ -44,14 +53,16 @@
     }
 
     /// Closes the first connection in eviction order on which no request has arrived in the
-    /// meantime. Returns false if no connection can be evicted.
-    pub(super) async fn evict_one(&self) -> bool {
-        while let Some(id) = self.eviction_candidate() {
-            let decided = self.connections.borrow()[&id].eviction.request();
+    /// meantime, or ends its input, so that it closes after an error response. Returns false if no connection can be evicted.
+    pub(super) async fn evict_one(&self, purpose: EvictionPurpose) -> bool {
+        while let Some(id) = self.eviction_candidate(purpose) {
+            let decided = self.connections.borrow()[&id].eviction.request(purpose);
             // The connection's task closes the connection unless a request has arrived in the
             // meantime.
             decided.notified().await;
-            if !self.connections.borrow().contains_key(&id) {
+            let connections = self.connections.borrow();
+            let remaining = connections.get(&id);
+            if remaining.is_none_or(|connection| connection.socket.is_input_aborted()) {
                 return true;
             }
         }
@@ -60,11 +71,11 @@
 
     /// Returns the first connection in eviction order on which no request is waiting to be read.
     /// The check takes a system call per connection, so it stops at the first match.
-    fn eviction_candidate(&self) -> Option<ConnectionId> {
+    fn eviction_candidate(&self, purpose: EvictionPurpose) -> Option<ConnectionId> {
         let connections = self.connections.borrow();
         let mut candidates: Vec<_> = connections
             .iter()
-            .filter_map(|(id, connection)| Some((connection.eviction_priority()?, *id)))
+            .filter_map(|(id, connection)| Some((connection.eviction_priority(purpose)?, *id)))
             .collect();
         candidates.sort_unstable();
         candidates
--- a/src/bin/load-balancer/server/eviction.rs
+++ b/src/bin/load-balancer/server/eviction.rs
@@ -1,6 +1,7 @@
-//! The order in which client connections are evicted when descriptors run short.
+//! The order in which client connections are evicted when descriptors or memory run short.
 
 use crate::server::connection::{ClientConnection, Phase, RequestHistory};
+use crate::server::connection_table::EvictionPurpose;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -40,15 +41,36 @@
 
 impl ClientConnection {
     /// Returns the connection's position in the eviction order, or `None` if it can't be evicted.
-    pub(super) fn eviction_priority(&self) -> Option<EvictionPriority> {
+    pub(super) fn eviction_priority(&self, purpose: EvictionPurpose) -> Option<EvictionPriority> {
         if self.eviction.is_pending() || self.socket.is_write_blocked() {
             return None;
         }
+        match purpose {
+            EvictionPurpose::Descriptor => self.idle_priority(),
+            EvictionPurpose::Memory if self.socket.is_input_aborted() => None,
+            EvictionPurpose::Memory => self
+                .idle_priority()
+                .filter(|priority| priority.reason <= EvictionReason::SlowRequest)
+                .or_else(|| self.slow_body_priority()),
+        }
+    }
+
+    fn idle_priority(&self) -> Option<EvictionPriority> {
         let idle_since = self.phase().idle_since()?;
         let reason = self.eviction_reason(idle_since.elapsed())?;
         Some(EvictionPriority { reason, idle_since })
     }
 
+    /// Returns the position of a connection on which a body is being read ahead, if it is slow.
+    fn slow_body_priority(&self) -> Option<EvictionPriority> {
+        let idle_since = self.socket.request_started_at()?;
+        let is_slow = idle_since.elapsed() >= SLOW_REQUEST_AGE;
+        (is_slow && self.phase() == Phase::ReceivingBody).then_some(EvictionPriority {
+            reason: EvictionReason::SlowRequest,
+            idle_since,
+        })
+    }
+
     /// Returns why the connection may be evicted after having been idle for `idle`, if it may be.
     fn eviction_reason(&self, idle: Duration) -> Option<EvictionReason> {
         if matches!(self.phase(), Phase::Lingering { .. }) {
--- a/src/bin/load-balancer/server/handler.rs
+++ b/src/bin/load-balancer/server/handler.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::{DispatchedRequest, Dispatcher, FinalResponse, RejectionReason};
 use crate::metrics::{InFlightRequest, RequestOutcome};
 use crate::server::connection::{ClientConnection, Phase};
+use crate::server::request_error::RequestError;
 use crate::server::response::{
     close_connection_after, error_response, rejected_response, text_response, ClientResponse,
     StreamingGuard,
@@ -19,9 +20,13 @@
 use tokio::task::spawn_local;
 
 impl Server {
-    /// Rejects a request because no descriptor is free. The request is counted if it names a known
-    /// class and has a request id; it is not validated further.
-    pub(super) fn reject_over_capacity(&self, request: &Request<Incoming>) -> ClientResponse {
+    /// Rejects a request because a resource is short, as `reason` says. The request is counted if it
+    /// names a known class and has a request id; it is not validated further.
+    pub(super) fn reject_over_capacity(
+        &self,
+        request: &Request<Incoming>,
+        reason: &str,
+    ) -> ClientResponse {
         if let Some(class) = self
             .class_index(request.uri().path())
             .filter(|_| request.headers().contains_key("request-id"))
@@ -31,7 +36,7 @@
                 .begin_request(class)
                 .end(RequestOutcome::Rejected);
         }
-        text_response(StatusCode::SERVICE_UNAVAILABLE, "no descriptor is free")
+        text_response(StatusCode::SERVICE_UNAVAILABLE, reason)
     }
 
     /// Handles a request, and returns once its response can begin.
@@ -45,7 +50,12 @@
         }
         let validated = match self.read_request(request, client).await {
             Ok(validated) => validated,
-            Err(error) => return error_response(&error),
+            Err(error) => {
+                if error == RequestError::MemoryShortage {
+                    self.resources.metrics.count_memory_rejection();
+                }
+                return error_response(&error);
+            }
         };
         let upload = validated.forwarded_request.upload.clone();
         client.record_valid_request();
@@ -66,6 +76,7 @@
             id,
         };
         client.enter(Phase::AwaitingResponse);
+        client.socket.accept_request();
         // While a complete request awaits its response, nothing else reads the bytes that follow
         // it. They are read ahead, as unread bytes can hide that the client has disconnected.
         client.socket.set_read_ahead(upload.is_complete());
--- a/src/bin/load-balancer/server/mod.rs
+++ b/src/bin/load-balancer/server/mod.rs
@@ -14,6 +14,7 @@
 mod eviction;
 mod handler;
 pub mod listener;
+mod memory;
 mod raw_head;
 mod request;
 mod request_error;
--- a/src/bin/load-balancer/server/request.rs
+++ b/src/bin/load-balancer/server/request.rs
@@ -73,7 +73,14 @@
         let arrival = RequestArrival::new(client.socket.peer(), end_offset);
         let upload = self
             .receive_body(body, client, received_at, arrival)
-            .await?;
+            .await
+            .map_err(|error| {
+                if client.socket.is_input_aborted() {
+                    RequestError::MemoryShortage
+                } else {
+                    error.into()
+                }
+            })?;
         let forwarded_request = self.forwarded_request(head, upload, validated.timeout, client)?;
         Ok(ValidatedRequest {
             client_request_id: validated.request_id,
--- a/src/bin/load-balancer/server/request_error/mod.rs
+++ b/src/bin/load-balancer/server/request_error/mod.rs
@@ -36,6 +36,8 @@
     Body(#[from] BodyError),
     #[error("too many requests are open")]
     TooManyOpen,
+    #[error("too little memory is free")]
+    MemoryShortage,
     #[error("Request-Id has been used before")]
     DuplicateRequestId,
 }
@@ -60,7 +62,9 @@
             Self::Body(BodyError::Stalled) => StatusCode::REQUEST_TIMEOUT,
             Self::Body(BodyError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::DuplicateRequestId => StatusCode::CONFLICT,
-            Self::TooManyOpen | Self::Body(BodyError::Abandoned) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TooManyOpen | Self::MemoryShortage | Self::Body(BodyError::Abandoned) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
         }
     }
 }
--- a/src/bin/load-balancer/server/serve.rs
+++ b/src/bin/load-balancer/server/serve.rs
@@ -1,8 +1,9 @@
 //! The task that serves one client connection, from its first request to its lingering close.
 
 use crate::body::ResponseBody;
+use crate::metrics::CloseReason;
 use crate::server::capacity::Admission;
-use crate::server::connection::{ClientConnection, Phase};
+use crate::server::connection::{ClientConnection, EvictionResponse, Phase};
 use crate::server::connection_table::ConnectionId;
 use crate::server::response::{close_connection_after, ClientResponse};
 use crate::server::timeouts::{DISCONNECT_CHECK_INTERVAL, IDLE_TIMEOUT};
@@ -19,14 +20,19 @@
 
 const MAX_HEAD_BYTES: usize = 32 << 10;
 const MAX_HEADERS: usize = 100;
+/// The response to a request whose head is not read to its end for lack of memory.
+const REFUSED_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
 /// How serving a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ServingEnd {
     /// The HTTP connection ended by itself, after its last response or on an error.
     Completed,
-    /// The client stalled or disconnected, or the connection was evicted.
-    Aborted,
+    /// The connection was closed without a further response.
+    Aborted(CloseReason),
+    /// The head of a request was incomplete and is not read to its end, for lack of memory.
+    HeadRefused,
 }
 
 impl Server {
@@ -42,8 +48,15 @@
         }
         let service = service_fn(|request| self.serve_request(request, &client, admission));
         let connection = http_builder(admission).serve_connection(client.socket.clone(), service);
-        if drive(connection, &client).await == ServingEnd::Completed {
-            linger(&client).await;
+        match drive(connection, &client).await {
+            ServingEnd::Completed => linger(&client).await,
+            ServingEnd::Aborted(reason) => self.resources.metrics.count_close(reason),
+            ServingEnd::HeadRefused => {
+                self.resources.metrics.count_close(CloseReason::HeadRefused);
+                client.socket.send_now(REFUSED_HEAD_RESPONSE);
+                client.set_rejected_incomplete(true);
+                linger(&client).await;
+            }
         }
         self.connections.remove(id);
         client.eviction.notify_decided();
@@ -60,7 +73,10 @@
         let is_over_capacity =
             admission == Admission::OverCapacity && !self.wait_for_capacity(client).await;
         let mut response = if is_over_capacity {
-            self.reject_over_capacity(&request)
+            self.reject_over_capacity(&request, "no descriptor is free")
+        } else if !self.wait_for_memory(client).await {
+            self.resources.metrics.count_memory_rejection();
+            self.reject_over_capacity(&request, "too little memory is free")
         } else {
             self.handle_request(request, client).await
         };
@@ -99,17 +115,30 @@
     loop {
         tokio::select! {
             // On an error hyper has sent the client a response if it could.
-            _ = connection.as_mut() => return ServingEnd::Completed,
+            _ = connection.as_mut() => {
+                return if client.is_head_refused() {
+                    ServingEnd::HeadRefused
+                } else {
+                    ServingEnd::Completed
+                };
+            }
             () = client.close.requested() => {
                 if client.can_close_now() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = &mut stalled => return ServingEnd::Aborted,
-            () = &mut disconnected => return ServingEnd::Aborted,
+            () = &mut stalled => return ServingEnd::Aborted(CloseReason::Stalled),
+            () = &mut disconnected => return ServingEnd::Aborted(CloseReason::Disconnected),
             () = client.eviction.requested() => {
-                if client.accepts_eviction() {
-                    return ServingEnd::Aborted;
+                match client.respond_to_eviction() {
+                    EvictionResponse::Close => return ServingEnd::Aborted(CloseReason::Evicted),
+                    EvictionResponse::Reject => {
+                        client.socket.abort_input();
+                        client.eviction.notify_decided();
+                        return ServingEnd::HeadRefused;
+                    }
+                    EvictionResponse::FailBody => client.socket.abort_input(),
+                    EvictionResponse::Stay => {}
                 }
                 client.eviction.notify_decided();
             }
--- a/src/bin/load-balancer/socket/connection.rs
+++ b/src/bin/load-balancer/socket/connection.rs
@@ -3,10 +3,12 @@
 use super::client_input::ClientInput;
 use super::exchange_limits::ExchangeLimits;
 use super::flush::FlushCounter;
+use super::input_limit::InputLimit;
 use super::read_ahead::ReadAheadBuffer;
 use super::receive_clock::ReceiveClock;
 use super::system_errors::is_local_error;
 use super::DescriptorPermit;
+use crate::memory::MemoryLimit;
 use crate::metrics::Metrics;
 use std::cell::{Cell, Ref};
 use std::io;
@@ -36,6 +38,7 @@
     /// The clock of the receive timestamps; `None` if the arrival of input is not recorded.
     pub(super) receive_clock: Option<Rc<ReceiveClock>>,
     pub(super) read_ahead: ReadAheadBuffer,
+    pub(super) input_limit: InputLimit,
     pub(super) exchange: ExchangeLimits,
     _permit: DescriptorPermit,
 }
@@ -97,24 +100,26 @@
     /// Wraps an established connection.
     #[must_use]
     pub fn new(stream: TcpStream, permit: DescriptorPermit) -> Self {
-        Self::wrap(stream, permit, None)
+        Self::wrap(stream, permit, None, None)
     }
 
     /// Wraps a connection that a client opened to send requests. Its recent input is stored, and
-    /// when the input was sent.
+    /// when the input was sent. `memory` limits the input of requests.
     #[must_use]
     pub fn of_client(
         stream: TcpStream,
         permit: DescriptorPermit,
         receive_clock: Rc<ReceiveClock>,
+        memory: Rc<MemoryLimit>,
     ) -> Self {
-        Self::wrap(stream, permit, Some(receive_clock))
+        Self::wrap(stream, permit, Some(receive_clock), Some(memory))
     }
 
     fn wrap(
         stream: TcpStream,
         permit: DescriptorPermit,
         receive_clock: Option<Rc<ReceiveClock>>,
+        memory: Option<Rc<MemoryLimit>>,
     ) -> Self {
         // A failure is harmless: without TCP_NODELAY, small writes are only delayed.
         let _ = stream.set_nodelay(true);
@@ -127,6 +132,7 @@
             client_input: ClientInput::new(receive_clock.is_some()),
             receive_clock,
             read_ahead: ReadAheadBuffer::new(permit.read_ahead_usage()),
+            input_limit: InputLimit::new(memory),
             exchange: ExchangeLimits::none(),
             _permit: permit,
         }))
@@ -166,6 +172,30 @@
     /// Marks a client's connection as idle: the next byte read belongs to a new request.
     pub fn mark_idle(&self) {
         self.0.client_input.mark_idle();
+        self.0.input_limit.begin_request(self.bytes_read());
+    }
+
+    /// Records that the current request of a client has been accepted, so that the rest of its
+    /// input is read even if memory is short.
+    pub fn accept_request(&self) {
+        self.0.input_limit.accept_request();
+    }
+
+    /// Makes all further reads of a client's connection fail, because memory is short.
+    pub fn abort_input(&self) {
+        self.0.input_limit.abort();
+    }
+
+    /// Returns whether reads fail because memory is short.
+    #[must_use]
+    pub fn is_input_aborted(&self) -> bool {
+        self.0.input_limit.is_aborted()
+    }
+
+    /// Sends as many of these bytes as the kernel accepts at once.
+    pub fn send_now(&self, bytes: &[u8]) {
+        // An error means that the peer has gone.
+        let _ = self.0.stream.try_write(bytes);
     }
 
     /// Returns when the first byte was read since the connection was last marked idle, or `None` if
--- a/src/bin/load-balancer/socket/io.rs
+++ b/src/bin/load-balancer/socket/io.rs
@@ -68,6 +68,7 @@
 impl Socket {
     /// Reads from the read-ahead buffer, or from the kernel if the buffer is empty.
     fn poll_input(&self, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
+        self.0.input_limit.check_read(self.bytes_read())?;
         if let Some(count) = self.0.read_ahead.take(bytes) {
             return Poll::Ready(Ok(count));
         }
--- a/src/bin/load-balancer/socket/mod.rs
+++ b/src/bin/load-balancer/socket/mod.rs
@@ -7,6 +7,7 @@
 //!   request began, and `read_ahead` buffers bytes that are read from the kernel before the server
 //!   reads them. `receive` reads them together with the kernel's receive timestamps, from which
 //!   `arrival` estimates when they were sent. [`RequestArrival`] is the result for one request.
+//!   `input_limit` refuses input while the process is short of memory.
 //! - For connections to upstreams, `exchange_limits` checks the reads and writes of an exchange.
 //! - [`NextFlush`] tells when all buffered bytes have been passed to the kernel.
 //! - `closing` detects disconnects and implements the lingering close.
@@ -19,6 +20,7 @@
 mod descriptor_budget;
 mod exchange_limits;
 mod flush;
+mod input_limit;
 mod io;
 mod read_ahead;
 mod receive;
--- a/src/bin/load-balancer/upstream/tests.rs
+++ b/src/bin/load-balancer/upstream/tests.rs
@@ -3,6 +3,7 @@
 use super::pool::MAX_IDLE_PER_UPSTREAM;
 use super::*;
 use crate::body::{MemoryBudget, Upload};
+use crate::memory::MemoryLimit;
 use crate::metrics::Metrics;
 use crate::socket::{AdminEndpoint, DescriptorBudget, PeerHandle, RequestArrival};
 use hyper::{HeaderMap, Method, Uri};
@@ -46,7 +47,7 @@
         let pool = ConnectionPool::new(
             budget.clone(),
             Metrics::new(&classes),
-            MemoryBudget::new(32 << 20),
+            MemoryBudget::new(32 << 20, MemoryLimit::new(32 << 20)),
             1.0,
             60.0,
         );
--- a/tests/streamed_memory.rs
+++ b/tests/streamed_memory.rs
@@ -60,6 +60,7 @@
     let program = Program::start(&with_memory_mb(&config, MEMORY_MB), "127.0.0.1:0");
     let mut clients: Vec<_> = (0..CLIENTS).map(|_| begin_response(&program)).collect();
     let bytes = settled_anonymous_memory(&program);
+    println!("settled at {bytes} bytes");
     assert!(
         bytes <= MEMORY_MB << 20,
         "{bytes} bytes of anonymous memory, limit {} bytes",
