Serve other clients between requests that one client sent at once

Traced with log lines in a copy: the connection ended as stalled, with 0 bytes read and its request unread in the kernel.

Cause: hyper serves up to 16 requests of one connection before another task runs, which is seconds with 590 such clients; and a client counted as stalled although its input was unread only because the process had no time.

Change: a request that was received together with the previous one lets other tasks run first. A client is not stalled while input from it is unread. A lingering connection isn't closed for memory, as its client may still be receiving a response.

--- a/src/bin/load-balancer/server/connection/mod.rs
+++ b/src/bin/load-balancer/server/connection/mod.rs
@@ -10,12 +10,13 @@
 use crate::socket::Socket;
 use std::cell::Cell;
 use std::rc::Rc;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// The current activity of a connection.
 ///
-/// A connection starts in `AwaitingRequest` and returns there after each response. A connection
-/// over capacity enters `AwaitingCapacity` once the head of its request has been received.
+/// A connection starts in `AwaitingRequest` and returns there after each response. It enters
+/// `AwaitingCapacity` if a request whose head has been received has to wait.
 /// `Lingering` is the last phase.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -26,8 +27,8 @@
         /// the first response, the time at which the connection was opened.
         since: Instant,
     },
-    /// The connection was accepted over capacity, and its request waits while idle connections are
-    /// evicted.
+    /// The head of the request has been received, and the request waits: for the tasks of other
+    /// connections, or while idle connections are evicted for it.
     AwaitingCapacity,
     /// The head of the request is valid, and its body is being read ahead.
     ReceivingBody,
@@ -147,6 +148,16 @@
         self.enter(Phase::AwaitingRequest { since });
     }
 
+    /// Lets the tasks of other connections run before a request that was received together with the
+    /// previous one. A client that sends many requests at once could otherwise have several of them
+    /// served before each request of another client.
+    pub(super) async fn yield_to_others(&self) {
+        // Neither an eviction nor a shutdown may take the connection for idle.
+        self.socket.record_request_start();
+        self.enter(Phase::AwaitingCapacity);
+        yield_now().await;
+    }
+
     /// Records the current request's end as an offset in the bytes received on the connection.
     pub(super) fn set_request_end(&self, end_offset: Option<usize>) {
         self.request.end_offset.set(end_offset);
--- a/src/bin/load-balancer/server/connection/stall.rs
+++ b/src/bin/load-balancer/server/connection/stall.rs
@@ -26,10 +26,8 @@
         loop {
             let now = Instant::now();
             let deadline = self.stall_deadline(now);
-            if deadline <= now && self.request.is_discarding_body.get() && self.socket.has_unread()
-            {
-                // More of the body has arrived; it is unread only because this process has had no
-                // time to read it.
+            if deadline <= now && self.awaits_input() && self.socket.has_unread() {
+                // The input is unread only because this process has had no time to read it.
                 sleep(DISCONNECT_CHECK_INTERVAL).await;
             } else if deadline <= now {
                 return;
@@ -38,6 +36,14 @@
         }
     }
 
+    /// Returns whether the client has stalled only if its input doesn't arrive: the rest of a body
+    /// that is discarded, or the first byte of a request.
+    fn awaits_input(&self) -> bool {
+        let awaits_first_byte = matches!(self.phase(), Phase::AwaitingRequest { .. })
+            && self.socket.request_started_at().is_none();
+        self.request.is_discarding_body.get() || awaits_first_byte
+    }
+
     /// Returns the time at which the client counts as stalled if nothing changes until then.
     fn stall_deadline(&self, now: Instant) -> Instant {
         match self.phase() {
--- a/src/bin/load-balancer/server/eviction.rs
+++ b/src/bin/load-balancer/server/eviction.rs
@@ -47,14 +47,22 @@
         }
         match purpose {
             EvictionPurpose::Descriptor => self.idle_priority(),
-            EvictionPurpose::Memory if self.socket.is_input_aborted() => None,
-            EvictionPurpose::Memory => self
-                .idle_priority()
-                .filter(|priority| priority.reason <= EvictionReason::SlowRequest)
-                .or_else(|| self.slow_body_priority()),
+            EvictionPurpose::Memory => self.memory_priority(),
         }
     }
 
+    /// Returns the position in the eviction order of a client that is idle or sends slowly. A
+    /// lingering connection holds little memory, and its client may still be receiving a response.
+    fn memory_priority(&self) -> Option<EvictionPriority> {
+        let is_closing = matches!(self.phase(), Phase::Lingering { .. });
+        if is_closing || self.socket.is_input_aborted() {
+            return None;
+        }
+        self.idle_priority()
+            .filter(|priority| priority.reason <= EvictionReason::SlowRequest)
+            .or_else(|| self.slow_body_priority())
+    }
+
     fn idle_priority(&self) -> Option<EvictionPriority> {
         let idle_since = self.phase().idle_since()?;
         let reason = self.eviction_reason(idle_since.elapsed())?;
--- a/src/bin/load-balancer/server/serve.rs
+++ b/src/bin/load-balancer/server/serve.rs
@@ -68,7 +68,11 @@
         client: &Rc<ClientConnection>,
         admission: Admission,
     ) -> Result<ClientResponse, Infallible> {
+        let is_buffered = client.socket.request_started_at().is_none();
         client.begin_request();
+        if is_buffered {
+            client.yield_to_others().await;
+        }
         let is_incomplete = !request.body().is_end_stream();
         let is_over_capacity =
             admission == Admission::OverCapacity && !self.wait_for_capacity(client).await;
--- a/src/bin/load-balancer/socket/client_input/mod.rs
+++ b/src/bin/load-balancer/socket/client_input/mod.rs
@@ -34,7 +34,14 @@
     /// Records the current time as the start of a request, unless a start is already recorded. A
     /// `count` of 0 means the end of the input and has no effect.
     pub(in crate::socket) fn record_read(&self, count: usize) {
-        if count > 0 && self.request_started_at.get().is_none() {
+        if count > 0 {
+            self.record_request_start();
+        }
+    }
+
+    /// Records the current time as the start of a request, unless a start is already recorded.
+    pub(in crate::socket) fn record_request_start(&self) {
+        if self.request_started_at.get().is_none() {
             self.request_started_at.set(Some(Instant::now()));
         }
     }
--- a/src/bin/load-balancer/socket/connection.rs
+++ b/src/bin/load-balancer/socket/connection.rs
@@ -175,6 +175,11 @@
         self.0.input_limit.begin_request(self.bytes_read());
     }
 
+    /// Records that a request has begun whose head was read together with the previous request.
+    pub fn record_request_start(&self) {
+        self.0.client_input.record_request_start();
+    }
+
     /// Records that the current request of a client has been accepted, so that the rest of its
     /// input is read even if memory is short.
     pub fn accept_request(&self) {
--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -168,6 +168,7 @@
         peak = peak.max(program.anonymous_memory_bytes());
         sleep(WRITE_INTERVAL);
     }
+    println!("{senders:?}: peak {peak} bytes");
     let mut probe = program.client();
     let response = probe.request(
         "/pay",
