Retain the ids of requests as fingerprints, and only of requests that were sent

Cause: each id was stored as text for up to three times the longest deadline, even if its request was rejected, without a limit; timers of requests that had ended stayed until their deadlines. With short deadlines, ids were forgotten early.

Change: ids are stored as fingerprints of 16 bytes, in at most an eighth of the memory, and only while their requests are open or if an attempt has written anything. They are retained for the longest deadline in any case, and for the longest idempotency window or 20 s if the memory suffices. Obsolete timers are removed when there are many.

--- a/src/bin/load-balancer/body/memory_budget/tests.rs
+++ b/src/bin/load-balancer/body/memory_budget/tests.rs
@@ -8,7 +8,7 @@
 
 #[test]
 fn a_body_reserves_at_most_its_length() {
-    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(32 << 20));
+    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(1 << 40));
     let reservations = [Some(212), Some(32 << 20), None].map(|length| budget.reserve(length));
     assert_eq!(budget.reserved_bytes(), 212 + READ_AHEAD_BYTES);
     assert_eq!(budget.shortages(), 1);
@@ -28,7 +28,7 @@
 /// A short body must not wait, or be streamed, because others hold the memory.
 #[test]
 fn a_short_body_may_be_read_completely_while_no_memory_is_free() {
-    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(32 << 20));
+    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(1 << 40));
     let _holders = [budget.reserve(None), budget.reserve(None)];
     assert_eq!(budget.reserved_bytes(), 2 * READ_AHEAD_BYTES);
     assert!(budget.reserve(Some(212)).max_bytes() >= 212);
@@ -37,7 +37,7 @@
 /// Memory must not be counted as free while the bytes still wait to be written to a connection.
 #[test]
 fn memory_is_released_with_the_last_clone_of_the_bytes_it_is_reserved_for() {
-    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(32 << 20));
+    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(1 << 40));
     let mut reservation = budget.reserve(None);
     let parts = ["one", "three"].map(|part| reservation.attach(Bytes::from(part)));
     drop(reservation);
@@ -53,7 +53,7 @@
 
 #[test]
 fn bytes_without_reserved_memory_are_returned_unchanged() {
-    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(32 << 20));
+    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(1 << 40));
     let _holders = [budget.reserve(None), budget.reserve(None)];
     for mut reservation in [budget.reserve(None), ReadAheadReservation::none()] {
         assert_eq!(&reservation.attach(Bytes::from("part"))[..], b"part");
@@ -63,7 +63,7 @@
 
 #[test]
 fn streamed_bodies_share_their_memory_equally() {
-    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(32 << 20));
+    let budget = MemoryBudget::new(PROCESS_BYTES, MemoryLimit::new(1 << 40));
     let first = budget.begin_stream();
     let alone = first.max_bytes();
     let others = [budget.begin_stream(), budget.begin_stream()];
--- a/src/bin/load-balancer/body/response_body/tests.rs
+++ b/src/bin/load-balancer/body/response_body/tests.rs
@@ -125,7 +125,7 @@
 ) -> ResponseBody {
     let download = Download::new(read_ahead, rest, length, oneshot::channel().0);
     let in_flight = Metrics::new(&["read".to_string()]).begin_request(0);
-    let share = MemoryBudget::new(32 << 20, MemoryLimit::new(32 << 20)).begin_stream();
+    let share = MemoryBudget::new(32 << 20, MemoryLimit::new(1 << 40)).begin_stream();
     let socket = socket.clone();
     ResponseBody::streamed(Box::new(download), socket, share, in_flight, Box::new(()))
 }
--- a/src/bin/load-balancer/body/upload/tests.rs
+++ b/src/bin/load-balancer/body/upload/tests.rs
@@ -78,7 +78,7 @@
     spawn_local(http1::Builder::new().serve_connection(socket, service));
     let incoming = received.await.expect("no request");
     let arrival = RequestArrival::new(PeerHandle::default(), None);
-    let memory = MemoryBudget::new(32 << 20, MemoryLimit::new(32 << 20));
+    let memory = MemoryBudget::new(32 << 20, MemoryLimit::new(1 << 40));
     let deadline = Instant::now() + TEST_TIMEOUT;
     let shutdown_deadline = ShutdownDeadline::default();
     let upload = Upload::read(incoming, arrival, &memory, deadline, &shutdown_deadline)
--- a/src/bin/load-balancer/dispatch/mod.rs
+++ b/src/bin/load-balancer/dispatch/mod.rs
@@ -18,6 +18,7 @@
 use crate::config::{Config, NameTables};
 use crate::discovery::{DiscoveryService, EndpointList, WatchSet};
 use crate::dispatch::clock::MonotonicUnixClock;
+use crate::dispatch::recent_request_ids::RetentionLimits;
 use crate::dispatch::request_table::{AttemptId, RequestTable};
 use crate::dispatch::timers::{Timer, TimerQueue};
 use crate::dispatch::upstream_directory::UpstreamDirectory;
@@ -35,6 +36,12 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
 
+/// Lower bound of the time for which ids are retained if the memory suffices. A client that has
+/// disconnected may repeat a request some seconds later.
+const MIN_PREFERRED_ID_RETENTION: Duration = Duration::from_secs(20);
+/// The ids of recent requests may take the memory of the process divided by this number.
+const ID_MEMORY_DIVISOR: usize = 8;
+
 /// Owns the decision module and the state that its events and actions refer to: requests and their
 /// attempts, upstreams, timers and the watches on discovery.
 pub struct Dispatcher {
@@ -93,10 +100,8 @@
         let max_open = config.settings.limits.max_open_requests;
         let max_open = max_open.min(config.max_descriptors);
         let classes = config.settings.classes.clone();
-        // A deadline that no `Duration` can hold counts as infinite. The fallback leaves room for
-        // doubling, because `RecentRequestIds` computes twice the retention.
-        let id_retention = longest_deadline(&classes).unwrap_or(Duration::MAX / 4);
-        let requests = RequestTable::new(max_open, id_retention);
+        let retention = id_retention(&classes, config.memory_bytes);
+        let requests = RequestTable::new(max_open, retention);
         let discovery = DiscoveryService {
             address: config.discovery,
             mode: config.settings.discovery_mode,
@@ -240,6 +245,25 @@
     Duration::try_from_secs_f64(longest).ok()
 }
 
+/// Returns the limits on the ids of recent requests. They are retained for the longest deadline in
+/// any case, so that no second request with the same id runs while the first may. If the memory
+/// suffices they are retained longer, because a client that has disconnected may come back later.
+fn id_retention(classes: &[Class], memory_bytes: usize) -> RetentionLimits {
+    // A deadline that no `Duration` can hold counts as infinite. The fallback leaves room for
+    // doubling, because `RecentRequestIds` computes twice the retention.
+    let min = longest_deadline(classes).unwrap_or(Duration::MAX / 4);
+    let windows = classes.iter().map(|class| class.idempotency_window);
+    let window = Duration::try_from_secs_f64(windows.fold(0.0, f64::max));
+    let preferred = min
+        .max(window.unwrap_or(Duration::ZERO).min(Duration::MAX / 4))
+        .max(MIN_PREFERRED_ID_RETENTION);
+    RetentionLimits {
+        min,
+        preferred,
+        memory_bytes: memory_bytes / ID_MEMORY_DIVISOR,
+    }
+}
+
 /// Converts the seconds of an action into a `Duration`. Values that a `Duration` can't hold, such
 /// as negative ones, become zero.
 fn duration_from_secs(seconds: f64) -> Duration {
--- a/src/bin/load-balancer/dispatch/request.rs
+++ b/src/bin/load-balancer/dispatch/request.rs
@@ -37,6 +37,9 @@
     /// A recent request has the same id and may still be running; the two could run concurrently.
     #[error("a recent request has the same id")]
     DuplicateId,
+    /// So many recent requests were sent to upstreams that no more of their ids can be retained.
+    #[error("too many recent requests have ids that are retained")]
+    TooManyRecent,
 }
 
 /// The final response to a request.
--- a/src/bin/load-balancer/dispatch/request_lifecycle.rs
+++ b/src/bin/load-balancer/dispatch/request_lifecycle.rs
@@ -32,7 +32,8 @@
         &mut self,
         request: ValidatedRequest,
     ) -> Result<DispatchedRequest, RejectionReason> {
-        let id = self.requests.allocate_id(request.client_request_id)?;
+        let allocated = self.requests.allocate_id(&request.client_request_id)?;
+        let id = allocated.id;
         let forwarded_request = Rc::new(request.forwarded_request);
         let (deadline, is_streamed) = (
             forwarded_request.deadline(),
@@ -46,7 +47,8 @@
                 }
             });
         }
-        let response = self.requests.insert(id, forwarded_request);
+        let response = self.requests.insert(allocated, forwarded_request);
+        self.remove_obsolete_timers();
         self.timers
             .set(deadline - BACKSTOP_MARGIN, Timer::DeadlineBackstop(id));
         self.handle(Event::Request(Request {
@@ -60,6 +62,17 @@
         Ok(DispatchedRequest { id, response })
     }
 
+    /// Removes the timers of requests that have ended, if there are many timers. Without this, many
+    /// short requests would leave timers until their deadlines.
+    fn remove_obsolete_timers(&mut self) {
+        let requests = &self.requests;
+        self.timers.compact(|timer| match timer {
+            Timer::Decision(token) => requests.is_removed(RequestId(token)),
+            Timer::DeadlineBackstop(id) => requests.is_removed(id),
+            Timer::ReopenWatch => false,
+        });
+    }
+
     fn upload_completed(&mut self, id: RequestId) {
         if self.requests.upload_completed(id) {
             self.handle(Event::UploadCompleted(id));
--- a/src/bin/load-balancer/dispatch/request_table/mod.rs
+++ b/src/bin/load-balancer/dispatch/request_table/mod.rs
@@ -1,13 +1,14 @@
 //! The open requests and their attempts.
 
-use crate::dispatch::recent_request_ids::RecentRequestIds;
+use crate::dispatch::recent_request_ids::{
+    InsertError, RecentRequestIds, RequestFingerprint, RetentionLimits,
+};
 use crate::dispatch::request::{FinalResponse, RejectionReason};
 use crate::upstream::{ConnectionIdleTime, ForwardedRequest};
 use load_balancer::{AttemptOutcome, AttemptResult, Event, RequestId, UpstreamId};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -21,8 +22,18 @@
     last_id: u64,
 }
 
+/// The id of a request whose client has given it another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AllocatedId {
+    /// The id of this process.
+    pub id: RequestId,
+    fingerprint: RequestFingerprint,
+}
+
 /// An open request.
 pub struct OpenRequest {
+    /// Fingerprint of the id that the client gave the request.
+    fingerprint: RequestFingerprint,
     forwarded_request: Rc<ForwardedRequest>,
     /// Sends the final response; `None` once the request is concluded, which means that the
     /// response has been sent or the client has disconnected.
@@ -131,6 +142,11 @@
         attempt.is_some_and(AttemptRecord::is_running)
     }
 
+    /// Returns whether any attempt may have written bytes to its upstream.
+    fn has_written(&self) -> bool {
+        self.attempts.iter().any(AttemptRecord::has_written)
+    }
+
     fn is_finished(&self) -> bool {
         !self.is_pending() && !self.attempts.iter().any(AttemptRecord::is_running)
     }
@@ -138,8 +154,8 @@
 
 impl RequestTable {
     /// Creates an empty table for at most `max_open` open requests. The ids that clients give their
-    /// requests are retained for at least `id_retention`.
-    pub fn new(max_open: usize, id_retention: Duration) -> Self {
+    /// requests are retained within `id_retention` if the requests were sent to an upstream.
+    pub fn new(max_open: usize, id_retention: RetentionLimits) -> Self {
         RequestTable {
             max_open,
             requests: HashMap::new(),
@@ -152,32 +168,40 @@
     ///
     /// # Errors
     ///
-    /// Returns a `RejectionReason` if too many requests are open or if a recent request has the
-    /// same `client_request_id`.
-    pub fn allocate_id(&mut self, client_request_id: String) -> Result<RequestId, RejectionReason> {
+    /// Returns a `RejectionReason` if too many requests are open, if a recent request has the same
+    /// `client_request_id`, or if too many ids are retained.
+    pub fn allocate_id(&mut self, client_request_id: &str) -> Result<AllocatedId, RejectionReason> {
         if self.requests.len() >= self.max_open {
             return Err(RejectionReason::TooManyOpen);
         }
-        if !self.recent_ids.insert(client_request_id) {
-            return Err(RejectionReason::DuplicateId);
-        }
+        let fingerprint = RequestFingerprint::of(client_request_id);
+        self.recent_ids
+            .insert(fingerprint)
+            .map_err(|error| match error {
+                InsertError::Duplicate => RejectionReason::DuplicateId,
+                InsertError::Full => RejectionReason::TooManyRecent,
+            })?;
         self.last_id += 1;
-        Ok(RequestId(self.last_id))
+        Ok(AllocatedId {
+            id: RequestId(self.last_id),
+            fingerprint,
+        })
     }
 
     /// Adds a request. Returns the receiver of its final response.
     pub fn insert(
         &mut self,
-        id: RequestId,
+        allocated: AllocatedId,
         forwarded_request: Rc<ForwardedRequest>,
     ) -> oneshot::Receiver<FinalResponse> {
         let (sender, receiver) = oneshot::channel();
         let request = OpenRequest {
+            fingerprint: allocated.fingerprint,
             forwarded_request,
             response: Some(sender),
             attempts: Vec::new(),
         };
-        self.requests.insert(id, request);
+        self.requests.insert(allocated.id, request);
         receiver
     }
 
@@ -260,13 +284,24 @@
         Some(response)
     }
 
-    /// Removes a request if it is concluded and has no running attempt.
+    /// Removes a request if it is concluded and has no running attempt. If no attempt has written
+    /// anything, the request has not run, and its id may be used again.
     pub fn remove_if_finished(&mut self, id: RequestId) {
-        if self.get(id).is_some_and(OpenRequest::is_finished) {
-            self.requests.remove(&id);
+        if !self.get(id).is_some_and(OpenRequest::is_finished) {
+            return;
+        }
+        let request = self.requests.remove(&id);
+        if let Some(request) = request.filter(|request| !request.has_written()) {
+            self.recent_ids.remove(request.fingerprint);
         }
     }
 
+    /// Returns whether a timer of this request has no effect any more, because the request was
+    /// removed. Returns false for a number that is no id of a request so far.
+    pub fn is_removed(&self, id: RequestId) -> bool {
+        id.0 <= self.last_id && !self.requests.contains_key(&id)
+    }
+
     /// Returns, ordered by id, the running attempts that have not written anything and whose
     /// upstream is no longer available at the address that was chosen for them.
     pub fn misdirected_attempts(
--- a/src/bin/load-balancer/dispatch/timers/mod.rs
+++ b/src/bin/load-balancer/dispatch/timers/mod.rs
@@ -19,12 +19,18 @@
     ReopenWatch,
 }
 
-/// The timers that have not fired, the earliest first. A timer can't be cancelled.
+/// The number of timers at which obsolete ones are first removed.
+const MIN_TIMERS_TO_COMPACT: usize = 256;
+
+/// The timers that have not fired, the earliest first. A timer can't be cancelled. Timers that have
+/// become obsolete, because their request has ended, are removed when there are many timers.
 #[derive(Default)]
 pub struct TimerQueue {
     heap: BinaryHeap<Reverse<(Instant, Timer)>>,
     /// Notified whenever a new timer becomes the earliest one.
     earliest_changed: Rc<Notify>,
+    /// The number of timers that the last [`Self::compact`] has left.
+    compacted_len: usize,
 }
 
 impl TimerQueue {
@@ -36,6 +42,17 @@
         self.heap.push(Reverse((at, timer)));
     }
 
+    /// Removes the timers that `is_obsolete` names if there may be many of them: the number of
+    /// timers has doubled since the last time.
+    pub fn compact(&mut self, is_obsolete: impl Fn(Timer) -> bool) {
+        if self.heap.len() < MIN_TIMERS_TO_COMPACT.max(2 * self.compacted_len) {
+            return;
+        }
+        self.heap.retain(|Reverse((_, timer))| !is_obsolete(*timer));
+        self.compacted_len = self.heap.len();
+        self.heap.shrink_to(2 * self.compacted_len);
+    }
+
     /// Returns the time at which the earliest timer is due, or `None` if no timer is set.
     pub fn next_at(&self) -> Option<Instant> {
         self.heap.peek().map(|Reverse((at, _))| *at)
--- a/src/bin/load-balancer/dispatch/timers/tests.rs
+++ b/src/bin/load-balancer/dispatch/timers/tests.rs
@@ -33,3 +33,20 @@
     }
     assert_eq!((timers.pop_due(), timers.next_at()), (None, None));
 }
+
+/// Requests that end long before their deadlines must not leave their timers until then.
+#[tokio::test(start_paused = true)]
+async fn obsolete_timers_are_removed_when_there_are_many() {
+    let mut timers = TimerQueue::default();
+    let at = Instant::now() + Duration::from_secs(1);
+    timers.set(at, Timer::ReopenWatch);
+    for number in 0..100_000 {
+        timers.set(at, Timer::DeadlineBackstop(RequestId(number)));
+        timers.compact(|timer| timer != Timer::ReopenWatch);
+        assert!(timers.heap.len() <= MIN_TIMERS_TO_COMPACT);
+    }
+    advance(Duration::from_secs(1)).await;
+    timers.compact(|_| true);
+    timers.retain(|timer| timer == Timer::ReopenWatch);
+    assert_eq!(timers.pop_due(), Some(Timer::ReopenWatch));
+}
--- a/src/bin/load-balancer/dispatch/upstream_directory/tests.rs
+++ b/src/bin/load-balancer/dispatch/upstream_directory/tests.rs
@@ -13,7 +13,7 @@
 fn directory() -> UpstreamDirectory {
     let (budget, memory) = (
         DescriptorBudget::new(1024, AdminEndpoint::Absent),
-        MemoryBudget::new(1 << 20, MemoryLimit::new(32 << 20)),
+        MemoryBudget::new(1 << 20, MemoryLimit::new(1 << 40)),
     );
     let pool = ConnectionPool::new(budget, Metrics::new(&[]), memory, 0.1, 1.0);
     UpstreamDirectory::new(Rc::new(pool))
--- a/src/bin/load-balancer/memory/limit/mod.rs
+++ b/src/bin/load-balancer/memory/limit/mod.rs
@@ -10,7 +10,7 @@
 
 /// Memory of the process that is not anonymous, in bytes: mostly its code.
 const FIXED_BYTES: usize = 4 << 20;
-/// Share of the remaining memory that may be allocated if it can't be read how much is resident. The
+/// Share of the remaining memory that may be allocated if the resident memory can't be read. The
 /// rest is what the allocator can't use, because it lies between allocated blocks.
 const ALLOCATABLE_SHARE: f64 = 0.75;
 /// The process can't work with less heap than this, in bytes, whatever its configuration says.
--- a/src/bin/load-balancer/server/handler.rs
+++ b/src/bin/load-balancer/server/handler.rs
@@ -65,7 +65,9 @@
             Ok(dispatched) => dispatched,
             Err(reason) => {
                 in_flight.end(match reason {
-                    RejectionReason::TooManyOpen => RequestOutcome::Rejected,
+                    RejectionReason::TooManyOpen | RejectionReason::TooManyRecent => {
+                        RequestOutcome::Rejected
+                    }
                     RejectionReason::DuplicateId => RequestOutcome::Failed,
                 });
                 return error_response(&reason.into());
--- a/src/bin/load-balancer/server/request_error/mod.rs
+++ b/src/bin/load-balancer/server/request_error/mod.rs
@@ -36,6 +36,8 @@
     Body(#[from] BodyError),
     #[error("too many requests are open")]
     TooManyOpen,
+    #[error("too many requests were sent recently")]
+    TooManyRecent,
     #[error("too little memory is free")]
     MemoryShortage,
     #[error("Request-Id has been used before")]
@@ -62,9 +64,10 @@
             Self::Body(BodyError::Stalled) => StatusCode::REQUEST_TIMEOUT,
             Self::Body(BodyError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::DuplicateRequestId => StatusCode::CONFLICT,
-            Self::TooManyOpen | Self::MemoryShortage | Self::Body(BodyError::Abandoned) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::TooManyOpen
+            | Self::TooManyRecent
+            | Self::MemoryShortage
+            | Self::Body(BodyError::Abandoned) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -73,6 +76,7 @@
     fn from(reason: RejectionReason) -> Self {
         match reason {
             RejectionReason::TooManyOpen => Self::TooManyOpen,
+            RejectionReason::TooManyRecent => Self::TooManyRecent,
             RejectionReason::DuplicateId => Self::DuplicateRequestId,
         }
     }
--- a/src/bin/load-balancer/upstream/tests.rs
+++ b/src/bin/load-balancer/upstream/tests.rs
@@ -47,7 +47,7 @@
         let pool = ConnectionPool::new(
             budget.clone(),
             Metrics::new(&classes),
-            MemoryBudget::new(32 << 20, MemoryLimit::new(32 << 20)),
+            MemoryBudget::new(32 << 20, MemoryLimit::new(1 << 40)),
             1.0,
             60.0,
         );
