Complete slow responses after SIGTERM, and pass on those that begin just in time

Causes: a process that shuts down ended the longest deadline plus 1 s after its accept window, whatever was still being streamed; and a response without a declared length was held back for up to 0.5 s, past the deadline of its request.

Change: the process stays while a response is being streamed (it ends by itself when upstream or client make no progress); what a response has so far is passed on 20 ms before the deadline of its attempt.

--- a/src/bin/load-balancer/body/memory_budget/mod.rs
+++ b/src/bin/load-balancer/body/memory_budget/mod.rs
@@ -94,8 +94,8 @@
     }
 
     /// Reserves memory for reading ahead a body of `length` bytes (`None`: unknown), but at most
-    /// [`READ_AHEAD_BYTES`]. If that much memory is not free, or the process is short of memory, the
-    /// reservation only allows [`UNRESERVED_READ_AHEAD_BYTES`].
+    /// [`READ_AHEAD_BYTES`]. If that much memory is not free, or the process is short of memory,
+    /// the reservation only allows [`UNRESERVED_READ_AHEAD_BYTES`].
     #[must_use]
     pub fn reserve(&self, length: Option<u64>) -> ReadAheadReservation {
         let needed_bytes = length.map_or(READ_AHEAD_BYTES, |length| {
--- a/src/bin/load-balancer/dispatch/recent_request_ids/mod.rs
+++ b/src/bin/load-balancer/dispatch/recent_request_ids/mod.rs
@@ -37,8 +37,8 @@
 
 /// The ids of recent requests. Ids are dropped a generation at a time, and a generation ends only
 /// when an id is added: once the preferred retention has passed, or earlier if there are many ids.
-/// An id is therefore retained for at least the minimum, and for less than three times the preferred
-/// retention, or for at most twice as long if ids are added continuously.
+/// An id is therefore retained for at least the minimum, and for less than three times the
+/// preferred retention, or for at most twice as long if ids are added continuously.
 pub struct RecentRequestIds {
     limits: RetentionLimits,
     generation_began_at: Instant,
--- a/src/bin/load-balancer/server/connection/signals.rs
+++ b/src/bin/load-balancer/server/connection/signals.rs
@@ -66,7 +66,8 @@
         self.notify.notified().await;
     }
 
-    /// Acknowledges the requested eviction, and returns its purpose; called by the connection's task.
+    /// Acknowledges the requested eviction, and returns its purpose; called by the connection's
+    /// task.
     pub(super) fn acknowledge(&self) -> Option<EvictionPurpose> {
         self.pending.take()
     }
--- a/src/bin/load-balancer/server/connection_table.rs
+++ b/src/bin/load-balancer/server/connection_table.rs
@@ -43,6 +43,15 @@
         self.connections.borrow().len()
     }
 
+    /// Returns the number of connections on which a response is being streamed.
+    pub(super) fn streaming_count(&self) -> usize {
+        let connections = self.connections.borrow();
+        let phases = connections.values().map(|connection| connection.phase());
+        phases
+            .filter(|phase| *phase == Phase::StreamingResponse)
+            .count()
+    }
+
     /// Requests that all connections for which `condition` holds close once they carry no request.
     pub(super) fn request_close_where(&self, condition: impl Fn(&ClientConnection) -> bool) {
         for connection in self.connections.borrow().values() {
@@ -53,7 +62,8 @@
     }
 
     /// Closes the first connection in eviction order on which no request has arrived in the
-    /// meantime, or ends its input, so that it closes after an error response. Returns false if no connection can be evicted.
+    /// meantime, or ends its input, so that it closes after an error response. Returns false if no
+    /// connection can be evicted.
     pub(super) async fn evict_one(&self, purpose: EvictionPurpose) -> bool {
         while let Some(id) = self.eviction_candidate(purpose) {
             let decided = self.connections.borrow()[&id].eviction.request(purpose);
--- a/src/bin/load-balancer/server/handler.rs
+++ b/src/bin/load-balancer/server/handler.rs
@@ -20,8 +20,8 @@
 use tokio::task::spawn_local;
 
 impl Server {
-    /// Rejects a request because a resource is short, as `reason` says. The request is counted if it
-    /// names a known class and has a request id; it is not validated further.
+    /// Rejects a request because a resource is short, as `reason` says. The request is counted if
+    /// it names a known class and has a request id; it is not validated further.
     pub(super) fn reject_over_capacity(
         &self,
         request: &Request<Incoming>,
--- a/src/bin/load-balancer/server/memory.rs
+++ b/src/bin/load-balancer/server/memory.rs
@@ -61,7 +61,8 @@
         true
     }
 
-    /// Closes the connection of a client that is idle or sends slowly. Returns false if there is none.
+    /// Closes the connection of a client that is idle or sends slowly. Returns false if there is
+    /// none.
     pub(super) async fn evict_for_memory(&self) -> bool {
         self.connections.evict_one(EvictionPurpose::Memory).await
     }
--- a/src/bin/load-balancer/server/mod.rs
+++ b/src/bin/load-balancer/server/mod.rs
@@ -72,6 +72,11 @@
         self.is_listening.set(true);
     }
 
+    /// Returns the number of client connections on which a response is being streamed.
+    pub fn streaming_connection_count(&self) -> usize {
+        self.connections.streaming_count()
+    }
+
     /// Returns the number of open client connections.
     pub fn connection_count(&self) -> usize {
         self.connections.len()
--- a/src/bin/load-balancer/shutdown/mod.rs
+++ b/src/bin/load-balancer/shutdown/mod.rs
@@ -8,7 +8,7 @@
 use crate::server::Server;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 
 /// Maximum time after SIGTERM during which connections are accepted. The health checks of clients
 /// have to notice the shutdown before the listener closes.
@@ -24,8 +24,8 @@
 /// Minimum time between the end of the accept window and the moment at which all requests must have
 /// their responses.
 const LISTENER_CLOSE_MARGIN: Duration = Duration::from_millis(100);
-/// After the listener has closed and the accept window has passed, connections may stay open for
-/// the longest deadline plus this time.
+/// After the listener has closed and the accept window has passed, connections without a streamed
+/// response may stay open for the longest deadline plus this time.
 const CONNECTION_GRACE: Duration = Duration::from_secs(1);
 /// Interval at which the shutdown checks whether connections are still open.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -46,8 +46,8 @@
     pub accept_window: Duration,
     /// Time within which all requests must have their responses.
     pub response_timeout: Duration,
-    /// Time within which all connections must have ended. It starts when the listener has closed
-    /// and the accept window has passed.
+    /// Time within which all connections must have ended that carry no streamed response. It starts
+    /// when the listener has closed and the accept window has passed.
     pub connection_timeout: Duration,
 }
 
@@ -67,7 +67,8 @@
 
 /// Shuts the server down gracefully: stops accepting connections, then waits until the requests in
 /// flight have finished and all connections have ended, for at most
-/// [`ShutdownSchedule::connection_timeout`].
+/// [`ShutdownSchedule::connection_timeout`]; responses that are being streamed are completed in any
+/// case.
 pub async fn shut_down(
     name: &str,
     server: &Rc<Server>,
@@ -77,15 +78,15 @@
 ) {
     log::line(format!("graceful shutdown started: {name}"));
     stop_accepting(server, listener, successor, schedule).await;
-    let connections_ended = async {
-        while server.connection_count() > 0 {
-            sleep(CONNECTION_CHECK_INTERVAL).await;
-        }
-    };
-    if timeout(schedule.connection_timeout, connections_ended)
-        .await
-        .is_err()
+    let deadline = Instant::now() + schedule.connection_timeout;
+    // A response that is still being streamed would be cut off. It ends when its upstream or its
+    // client makes no progress.
+    while Instant::now() < deadline && server.connection_count() > 0
+        || server.streaming_connection_count() > 0
     {
+        sleep(CONNECTION_CHECK_INTERVAL).await;
+    }
+    if server.connection_count() > 0 {
         let open = server.connection_count();
         log::line(format!(
             "graceful shutdown incomplete: {name} ({open} connections open)"
--- a/src/bin/load-balancer/socket/read_ahead/mod.rs
+++ b/src/bin/load-balancer/socket/read_ahead/mod.rs
@@ -15,8 +15,8 @@
 const MAX_READ_AHEAD_BYTES_UNDER_PRESSURE: usize = 16 << 10;
 /// Once all connections together buffer this many bytes, the lower limit applies to each of them.
 const READ_AHEAD_PRESSURE_BYTES: usize = 2 << 20;
-/// A buffer grows by at least this number of bytes, or by its size divided by [`GROWTH_DIVISOR`], so
-/// that little of what is allocated is unused.
+/// A buffer grows by at least this number of bytes, or by its size divided by [`GROWTH_DIVISOR`],
+/// so that little of what is allocated is unused.
 const MIN_GROWTH_BYTES: usize = 4 << 10;
 const GROWTH_DIVISOR: usize = 8;
 
--- a/src/bin/load-balancer/upstream/exchange.rs
+++ b/src/bin/load-balancer/upstream/exchange.rs
@@ -86,7 +86,7 @@
         let received = {
             let mut receive = pin!(async {
                 let response = sender.send_request(request).await?;
-                read_response(socket, &self.pool.memory, response).await
+                read_response(socket, &self.pool.memory, response, self.deadline()).await
             });
             tokio::select! {
                 biased;
--- a/src/bin/load-balancer/upstream/response.rs
+++ b/src/bin/load-balancer/upstream/response.rs
@@ -14,6 +14,7 @@
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode, Version};
 use std::collections::VecDeque;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{timeout_at, Instant};
 
@@ -22,6 +23,9 @@
 /// Maximum number of bytes that may precede the first part of a body (interim responses and the
 /// head), or each further part (the size of a chunk and its extensions).
 pub(super) const MAX_OVERHEAD_BYTES: usize = 4 * MAX_HEAD_BYTES;
+/// Time before the deadline of an attempt at which a response that has begun is passed on, even if
+/// it might become complete.
+const HANDOVER_MARGIN: Duration = Duration::from_millis(20);
 
 /// A successful response.
 pub struct UpstreamResponse {
@@ -76,6 +80,7 @@
 }
 
 /// Reads the body of a response, or the first part of a large one, and classifies the response.
+/// `deadline` is that of the attempt.
 ///
 /// # Errors
 ///
@@ -84,6 +89,7 @@
     socket: &Socket,
     memory: &MemoryBudget,
     response: Response<Incoming>,
+    deadline: Instant,
 ) -> hyper::Result<ReceivedResponse> {
     let (head, mut body) = response.into_parts();
     if !is_framed(&head) {
@@ -96,7 +102,7 @@
         head.version == Version::HTTP_11 && !lists_token(&head.headers, CONNECTION, "close");
     let (response, disposition) = match classify(head.status, &head.headers) {
         Ok(()) => {
-            let received = read_content(socket, memory, body).await?;
+            let received = read_content(socket, memory, body, deadline).await?;
             let response = received.content.map(|body| UpstreamResponse {
                 headers: head.headers,
                 body,
@@ -160,6 +166,7 @@
     socket: &Socket,
     memory: &MemoryBudget,
     mut body: Incoming,
+    deadline: Instant,
 ) -> hyper::Result<ReceivedContent> {
     let length = body.size_hint().exact();
     if length.is_some_and(|length| length > MAX_BODY_BYTES) {
@@ -175,7 +182,7 @@
         memory.reserve(length)
     };
     let max_bytes = reservation.max_bytes();
-    let prefix = read_body_prefix(socket, &mut body, length, max_bytes).await?;
+    let prefix = read_body_prefix(socket, &mut body, length, max_bytes, deadline).await?;
     if prefix.is_complete {
         return Ok(ReceivedContent {
             content: Ok(ResponseContent::Complete(concatenate(prefix.parts))),
@@ -206,14 +213,16 @@
 
 /// Reads the part of a body that must be received before the response is passed on: all of it, or
 /// at least one part and more than `max_bytes` bytes. If the length of the body is unknown, reading
-/// also ends after [`MAX_RESPONSE_DELAY`], but not before the first part has been read.
+/// also ends after [`MAX_RESPONSE_DELAY`], or shortly before `deadline`, but not before the first
+/// part has been read.
 async fn read_body_prefix(
     socket: &Socket,
     body: &mut Incoming,
     length: Option<u64>,
     max_bytes: usize,
+    deadline: Instant,
 ) -> hyper::Result<BodyPrefix> {
-    let streaming_deadline = Instant::now() + MAX_RESPONSE_DELAY;
+    let streaming_deadline = (Instant::now() + MAX_RESPONSE_DELAY).min(deadline - HANDOVER_MARGIN);
     let (mut parts, mut size) = (VecDeque::new(), 0);
     while size <= max_bytes {
         let frame = if length.is_none() && size > 0 {
