Claim the ids of requests at the other process of an upgrade

Cause: each process knew the ids of its own requests only.

Change: while both serve, a process claims an id at the other one before it accepts the request; the predecessor wins if both do so at once. The successor gets the ids of the predecessor's recent requests before it listens. Versions without claims close the connection on unknown messages, so claims are used only if the predecessor has declared them in a file with its process id; the state file is unchanged.

--- a/src/bin/load-balancer/dispatch/mod.rs
+++ b/src/bin/load-balancer/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod timers;
 mod upstream_directory;
 
+pub use recent_request_ids::RequestFingerprint;
 pub use request::{DispatchedRequest, FinalResponse, RejectionReason, ValidatedRequest};
 
 use crate::config::{Config, NameTables};
@@ -101,7 +102,8 @@
         let max_open = max_open.min(config.max_descriptors);
         let classes = config.settings.classes.clone();
         let retention = id_retention(&classes, config.memory_bytes);
-        let requests = RequestTable::new(max_open, retention);
+        let claims = resources.request_id_claims.clone();
+        let requests = RequestTable::new(max_open, retention, claims);
         let discovery = DiscoveryService {
             address: config.discovery,
             mode: config.settings.discovery_mode,
@@ -153,6 +155,22 @@
         })
     }
 
+    /// Records the id of a request that the other process of an upgrade accepts. Returns false if
+    /// this process has a recent request with this id.
+    pub fn record_peer_request(&mut self, id: RequestFingerprint) -> bool {
+        self.requests.record_peer_request(id)
+    }
+
+    /// Removes the id of a request that the other process has accepted and not sent.
+    pub fn remove_peer_request(&mut self, id: RequestFingerprint) {
+        self.requests.remove_peer_request(id);
+    }
+
+    /// Returns the ids of recent requests.
+    pub fn recent_request_ids(&self) -> Vec<RequestFingerprint> {
+        self.requests.recent_ids().collect()
+    }
+
     /// Returns the learned state of the decision module.
     pub fn learned_state(&self) -> LearnedState {
         self.balancer.learned_state()
--- a/src/bin/load-balancer/dispatch/recent_request_ids/fingerprint.rs
+++ b/src/bin/load-balancer/dispatch/recent_request_ids/fingerprint.rs
@@ -1,10 +1,11 @@
 //! Fingerprints of request ids, which take less memory than the ids.
 
+use serde::{Deserialize, Serialize};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// A fingerprint of the id that a client gave a request. It is the same in all processes of one
 /// version. Two ids of a fleet practically never have the same fingerprint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RequestFingerprint(u64, u64);
 
 impl RequestFingerprint {
--- a/src/bin/load-balancer/dispatch/recent_request_ids/mod.rs
+++ b/src/bin/load-balancer/dispatch/recent_request_ids/mod.rs
@@ -74,6 +74,11 @@
         Ok(())
     }
 
+    /// Returns all ids.
+    pub fn iter(&self) -> impl Iterator<Item = RequestFingerprint> + '_ {
+        self.previous.iter().chain(&self.current).copied()
+    }
+
     /// Removes an id whose request was never sent to an upstream, so that its client may repeat it.
     pub fn remove(&mut self, id: RequestFingerprint) {
         if !self.current.remove(&id) {
--- a/src/bin/load-balancer/dispatch/request_table/mod.rs
+++ b/src/bin/load-balancer/dispatch/request_table/mod.rs
@@ -4,6 +4,7 @@
     InsertError, RecentRequestIds, RequestFingerprint, RetentionLimits,
 };
 use crate::dispatch::request::{FinalResponse, RejectionReason};
+use crate::handover::RequestIdClaims;
 use crate::upstream::{ConnectionIdleTime, ForwardedRequest};
 use load_balancer::{AttemptOutcome, AttemptResult, Event, RequestId, UpstreamId};
 use std::collections::{HashMap, VecDeque};
@@ -19,6 +20,8 @@
     max_open: usize,
     requests: HashMap<RequestId, OpenRequest>,
     recent_ids: RecentRequestIds,
+    /// Told of ids that are removed from `recent_ids`.
+    claims: Rc<RequestIdClaims>,
     last_id: u64,
 }
 
@@ -155,11 +158,16 @@
 impl RequestTable {
     /// Creates an empty table for at most `max_open` open requests. The ids that clients give their
     /// requests are retained within `id_retention` if the requests were sent to an upstream.
-    pub fn new(max_open: usize, id_retention: RetentionLimits) -> Self {
+    pub fn new(
+        max_open: usize,
+        id_retention: RetentionLimits,
+        claims: Rc<RequestIdClaims>,
+    ) -> Self {
         RequestTable {
             max_open,
             requests: HashMap::new(),
             recent_ids: RecentRequestIds::new(id_retention),
+            claims,
             last_id: 0,
         }
     }
@@ -293,9 +301,26 @@
         let request = self.requests.remove(&id);
         if let Some(request) = request.filter(|request| !request.has_written()) {
             self.recent_ids.remove(request.fingerprint);
+            self.claims.release(request.fingerprint);
         }
     }
 
+    /// Records the id of a request that the other process of an upgrade accepts. Returns false if
+    /// there is a recent request with this id.
+    pub fn record_peer_request(&mut self, id: RequestFingerprint) -> bool {
+        self.recent_ids.insert(id) != Err(InsertError::Duplicate)
+    }
+
+    /// Removes the id of a request that the other process has accepted and not sent.
+    pub fn remove_peer_request(&mut self, id: RequestFingerprint) {
+        self.recent_ids.remove(id);
+    }
+
+    /// Returns the ids of recent requests.
+    pub fn recent_ids(&self) -> impl Iterator<Item = RequestFingerprint> + '_ {
+        self.recent_ids.iter()
+    }
+
     /// Returns whether a timer of this request has no effect any more, because the request was
     /// removed. Returns false for a number that is no id of a request so far.
     pub fn is_removed(&self, id: RequestId) -> bool {
--- a/src/bin/load-balancer/dispatch/request_table/tests.rs
+++ b/src/bin/load-balancer/dispatch/request_table/tests.rs
@@ -41,6 +41,7 @@
             preferred: Duration::from_secs(1),
             memory_bytes: 1 << 20,
         },
+        Rc::default(),
     );
     let allocated = table.allocate_id("a").expect("the request is rejected");
     let response = table.insert(
--- a/src/bin/load-balancer/handover/folder.rs
+++ b/src/bin/load-balancer/handover/folder.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process;
 use std::time::Duration;
 use tokio::net::{UnixListener, UnixStream};
 
@@ -13,6 +14,9 @@
 /// not change.
 const FILE_NAME_PREFIX: &str = "magpiechute";
 
+/// Extension of the file with the id of the process that claims request ids at its successor.
+const CLAIMS_EXTENSION: &str = "claims";
+
 /// Schedule by which a connect to the handover socket or a read of the state file is retried after
 /// a transient error.
 pub const FOLDER_RETRY_SCHEDULE: RetrySchedule = RetrySchedule {
@@ -58,6 +62,26 @@
         self.file("sock")
     }
 
+    /// Declares that this process claims the ids of requests at its successor. Without the file, a
+    /// successor takes this process for one of an earlier version.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the file system.
+    pub fn declare_claims(&self) -> io::Result<()> {
+        self.file(CLAIMS_EXTENSION).map_or(Ok(()), |path| {
+            std::fs::write(path, process::id().to_string())
+        })
+    }
+
+    /// Returns whether the process with this id claims the ids of requests at its successor.
+    pub fn has_declared_claims(&self, process_id: i32) -> bool {
+        let declared = self
+            .file(CLAIMS_EXTENSION)
+            .and_then(|path| std::fs::read_to_string(path).ok());
+        declared.is_some_and(|id| id == process_id.to_string())
+    }
+
     fn file(&self, extension: &str) -> Option<PathBuf> {
         let folder = self.path.as_ref()?;
         Some(folder.join(format!("{FILE_NAME_PREFIX}-{}.{extension}", self.address())))
@@ -79,7 +103,7 @@
 ///
 /// Returns the error of socket(2), bind(2) or listen(2), or of the rename to `socket`.
 pub fn listen_for_successor(socket: &Path) -> io::Result<UnixListener> {
-    let temporary = socket.with_extension(std::process::id().to_string());
+    let temporary = socket.with_extension(process::id().to_string());
     // A file with this name can only be left over from a dead process with the same process id.
     let _ = std::fs::remove_file(&temporary);
     let listener = UnixListener::bind(&temporary)?;
--- a/src/bin/load-balancer/handover/message.rs
+++ b/src/bin/load-balancer/handover/message.rs
@@ -1,8 +1,10 @@
 //! The messages that the two processes of an upgrade exchange, each as one line of JSON.
 //!
-//! Versions up to 47c951f send and expect the same lines, so the set of messages and their format
-//! must not change.
+//! Versions up to 47c951f send and expect the first four messages, so their format must not change.
+//! They close the connection when they receive another one, so the other messages are only sent to
+//! a predecessor that has declared that it claims request ids, and then by both.
 
+use crate::dispatch::RequestFingerprint;
 use serde::{Deserialize, Serialize};
 
 /// A message from one process of an upgrade to the other.
@@ -20,6 +22,23 @@
     /// Sent by either process after it has replaced the state file.
     #[serde(rename = "state")]
     StateChanged,
+    /// Sent by a successor: from now on both processes claim the ids of requests at each other.
+    ShareRequestIds,
+    /// Sent by the predecessor in response: ids of its recent requests.
+    RecentRequestIds(Vec<RequestFingerprint>),
+    /// Sent by the predecessor after its last [`Self::RecentRequestIds`].
+    RequestIdsShared,
+    /// Sent before a request with this id is accepted.
+    ClaimRequestId(RequestFingerprint),
+    /// The answer to a claim.
+    RequestIdClaimed {
+        /// The id that was claimed.
+        id: RequestFingerprint,
+        /// Whether the sender has had no recent request with this id.
+        is_new: bool,
+    },
+    /// Sent when a request with this id was claimed, and not sent to any upstream.
+    ReleaseRequestId(RequestFingerprint),
 }
 
 impl PeerMessage {
--- a/src/bin/load-balancer/handover/mod.rs
+++ b/src/bin/load-balancer/handover/mod.rs
@@ -7,14 +7,18 @@
 mod folder;
 mod message;
 mod peer_connection;
+mod request_id_claims;
 mod retry_stream;
 mod state_file;
 mod state_store;
 
-use crate::dispatch::Dispatcher;
+pub use request_id_claims::RequestIdClaims;
+
+use crate::dispatch::{Dispatcher, RequestFingerprint};
 use crate::handover::folder::{connect_to_predecessor, listen_for_successor, HandoverFolder};
 use crate::handover::message::PeerMessage;
 use crate::handover::peer_connection::{IncomingMessages, PeerConnection};
+use crate::handover::request_id_claims::ClaimRole;
 use crate::handover::state_file::StateError;
 use crate::handover::state_store::{StateStore, STATE_WRITE_RETRY_INTERVAL};
 use crate::log;
@@ -23,7 +27,7 @@
 use crate::server::Server;
 use crate::socket::DescriptorBudget;
 use load_balancer::Maintenance;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -41,6 +45,10 @@
 /// connection may end before the report because the predecessor briefly lacks a resource; a new one
 /// is opened then.
 const MAX_HANDSHAKE_ATTEMPTS: usize = 3;
+/// Time within which a predecessor has to send the ids of its recent requests.
+const REQUEST_ID_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of ids in one message.
+const REQUEST_IDS_PER_MESSAGE: usize = 1000;
 /// Pause after a failed accept(2) on the handover socket.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the creation of the handover socket is retried. It is longer than
@@ -94,6 +102,12 @@
     /// Maximum number of descriptors that both processes may use together.
     max_descriptors: usize,
     peer: RefCell<Peer>,
+    request_id_claims: Rc<RequestIdClaims>,
+    /// The process id of the predecessor; `None` if there is none or the id is unknown.
+    predecessor_id: Cell<Option<i32>>,
+    /// Notified when the predecessor has sent the ids of its recent requests.
+    request_ids_shared: Notify,
+    dispatcher: Rc<RefCell<Dispatcher>>,
 }
 
 impl Handover {
@@ -109,7 +123,11 @@
     ) -> Rc<Self> {
         let folder = Rc::new(HandoverFolder::new(folder, address));
         Rc::new(Handover {
-            store: StateStore::new(folder.clone(), dispatcher),
+            store: StateStore::new(folder.clone(), dispatcher.clone()),
+            dispatcher,
+            request_id_claims: resources.request_id_claims.clone(),
+            predecessor_id: Cell::new(None),
+            request_ids_shared: Notify::new(),
             folder,
             server,
             descriptors: resources.descriptors.clone(),
@@ -196,12 +214,52 @@
         // The file is read after the handshake, because the predecessor writes it when it receives
         // `Hello` and sends a message after each later change.
         self.store.restore().await;
+        let predecessor = self.predecessor_id.get();
+        if predecessor.is_some_and(|id| self.folder.has_declared_claims(id)) && self.has_peer() {
+            self.share_request_ids().await;
+        }
+    }
+
+    /// Begins to claim request ids at the predecessor, and waits for the ids of its recent
+    /// requests.
+    async fn share_request_ids(&self) {
+        self.begin_claims(ClaimRole::Successor);
+        self.send(PeerMessage::ShareRequestIds);
+        let shared = self.request_ids_shared.notified();
+        if timeout(REQUEST_ID_TIMEOUT, shared).await.is_err() {
+            let address = self.folder.address();
+            log::line(format!(
+                "peer process did not send its request ids: balancer at {address}"
+            ));
+        }
+    }
+
+    fn begin_claims(&self, role: ClaimRole) {
+        if let Some(connection) = self.peer.borrow().connection() {
+            self.request_id_claims.set_peer(connection.clone(), role);
+        }
+    }
+
+    /// Sends the ids of recent requests to the successor.
+    fn send_request_ids(&self) {
+        let ids = self.dispatcher.borrow().recent_request_ids();
+        for ids in ids.chunks(REQUEST_IDS_PER_MESSAGE) {
+            self.send(PeerMessage::RecentRequestIds(ids.to_vec()));
+        }
+        self.send(PeerMessage::RequestIdsShared);
+    }
+
+    fn record_peer_request(&self, id: RequestFingerprint) -> bool {
+        self.dispatcher.borrow_mut().record_peer_request(id)
     }
 
     /// Sends `Hello` to the predecessor and waits until it has reported its descriptors or
     /// [`DESCRIPTOR_REPORT_TIMEOUT`] has passed. Returns false if the connection has ended without
     /// a report.
     async fn perform_handshake(self: &Rc<Self>, stream: UnixStream) -> bool {
+        let credentials = stream.peer_cred().ok();
+        self.predecessor_id
+            .set(credentials.and_then(|credentials| credentials.pid()));
         let half = self.max_descriptors / 2;
         let address = self.folder.address();
         log::line(format!(
@@ -233,6 +291,8 @@
         let Some(socket) = self.folder.socket() else {
             return;
         };
+        // If this fails, a successor does not claim request ids.
+        let _ = self.folder.declare_claims();
         // The socket is created here and not in a task, because a successor may be started as soon
         // as this process listens for clients.
         match listen_for_successor(&socket) {
@@ -297,6 +357,7 @@
             "peer process disconnected: balancer at {address} (descriptor limit {limit})"
         ));
         let peer = self.peer.replace(Peer::Absent);
+        self.request_id_claims.remove_peer();
         self.descriptors.set_limit(limit);
         self.memory_limit.set_process_count(1);
         if matches!(peer, Peer::Accepting(_)) {
@@ -336,6 +397,26 @@
             PeerMessage::StateChanged => {
                 self.store.restore_maintenance().await;
             }
+            PeerMessage::ShareRequestIds => {
+                self.begin_claims(ClaimRole::Predecessor);
+                self.send_request_ids();
+            }
+            PeerMessage::RecentRequestIds(ids) => {
+                for id in ids {
+                    self.record_peer_request(id);
+                }
+            }
+            PeerMessage::RequestIdsShared => self.request_ids_shared.notify_one(),
+            PeerMessage::ClaimRequestId(id) => {
+                let record = || self.record_peer_request(id);
+                self.request_id_claims.answer(id, record);
+            }
+            PeerMessage::RequestIdClaimed { id, is_new } => {
+                self.request_id_claims.handle_answer(id, is_new);
+            }
+            PeerMessage::ReleaseRequestId(id) => {
+                self.dispatcher.borrow_mut().remove_peer_request(id);
+            }
         }
     }
 
--- a/src/bin/load-balancer/handover/peer_connection.rs
+++ b/src/bin/load-balancer/handover/peer_connection.rs
@@ -9,7 +9,8 @@
 use tokio::task::spawn_local;
 
 /// The sending side of the connection. Messages are queued and written by a separate task, which
-/// ends after this value is dropped.
+/// ends after all clones of this value have been dropped.
+#[derive(Clone)]
 pub struct PeerConnection {
     outgoing: UnboundedSender<PeerMessage>,
 }
--- a/src/bin/load-balancer/resources.rs
+++ b/src/bin/load-balancer/resources.rs
@@ -3,6 +3,7 @@
 
 use crate::body::MemoryBudget;
 use crate::config::Config;
+use crate::handover::RequestIdClaims;
 use crate::memory::MemoryLimit;
 use crate::metrics::Metrics;
 use crate::socket::{AdminEndpoint, DescriptorBudget};
@@ -18,6 +19,8 @@
     pub memory_limit: Rc<MemoryLimit>,
     /// The budget of memory for the read-ahead of bodies.
     pub memory: Rc<MemoryBudget>,
+    /// The claims of request ids at the other process of an upgrade.
+    pub request_id_claims: Rc<RequestIdClaims>,
     /// Counters of request outcomes and of attempts.
     pub metrics: Rc<Metrics>,
     /// The idle connections to upstreams.
@@ -48,6 +51,7 @@
             descriptors,
             memory_limit,
             memory,
+            request_id_claims: Rc::default(),
             metrics,
             pool,
         }
--- a/src/bin/load-balancer/server/handler.rs
+++ b/src/bin/load-balancer/server/handler.rs
@@ -1,7 +1,10 @@
 //! Handles one request: dispatches it and builds the client's response from its final response.
 
 use crate::body::{ResponseBody, Upload};
-use crate::dispatch::{DispatchedRequest, Dispatcher, FinalResponse, RejectionReason};
+use crate::dispatch::{
+    DispatchedRequest, Dispatcher, FinalResponse, RejectionReason, RequestFingerprint,
+    ValidatedRequest,
+};
 use crate::metrics::{InFlightRequest, RequestOutcome};
 use crate::server::connection::{ClientConnection, Phase};
 use crate::server::request_error::RequestError;
@@ -60,7 +63,7 @@
         let upload = validated.forwarded_request.upload.clone();
         client.record_valid_request();
         let in_flight = self.resources.metrics.begin_request(validated.class);
-        let dispatched = self.dispatcher.borrow_mut().accept(validated);
+        let dispatched = self.accept_request(validated).await;
         let DispatchedRequest { id, response } = match dispatched {
             Ok(dispatched) => dispatched,
             Err(reason) => {
@@ -90,6 +93,23 @@
         self.client_response(final_response.ok(), in_flight, &upload, client)
     }
 
+    /// Claims the id of a request at the other process of an upgrade, and accepts the request.
+    async fn accept_request(
+        &self,
+        request: ValidatedRequest,
+    ) -> Result<DispatchedRequest, RejectionReason> {
+        let id = RequestFingerprint::of(&request.client_request_id);
+        let claim = self.resources.request_id_claims.claim(id).await;
+        let claim = claim.ok_or(RejectionReason::DuplicateId)?;
+        let dispatched = self.dispatcher.borrow_mut().accept(request);
+        match &dispatched {
+            // A duplicate is an id of this process, which the claim must not release.
+            Ok(_) | Err(RejectionReason::DuplicateId) => claim.accept(),
+            Err(_) => drop(claim),
+        }
+        dispatched
+    }
+
     /// Builds the client's response from the final response and counts the outcome. Without a final
     /// response the client has disconnected.
     fn client_response(
