Answer requests that are refused for lack of memory before their body is read

Cause: found by reading. A request that is refused with 503 for lack of memory while its body is on the way was closed without reading the body, which some clients send to its end before they read a response; and health checks were refused too.

Change: such a body is discarded, as that of an invalid request; health checks are answered whatever memory is free.

Result: tests/client_memory.rs, readiness.rs, descriptor_limits.rs and invalid_requests.rs pass; no test forces this case.

--- a/src/bin/load-balancer/server/handler.rs
+++ b/src/bin/load-balancer/server/handler.rs
@@ -23,6 +23,9 @@
 use std::rc::Rc;
 use tokio::task::spawn_local;
 
+/// The path of the health check for the load balancers in front of this one.
+pub(super) const HEALTH_CHECK_PATH: &str = "/healthz";
+
 impl Server {
     /// Rejects a request because a resource is short, as `reason` says. The request is counted if
     /// it names a known class and has a request id; it is not validated further.
@@ -49,7 +52,7 @@
         request: Request<Incoming>,
         client: &Rc<ClientConnection>,
     ) -> ClientResponse {
-        if request.uri().path() == "/healthz" {
+        if request.uri().path() == HEALTH_CHECK_PATH {
             return self.health_response();
         }
         let validated = match self.read_request(request, client).await {
--- a/src/bin/load-balancer/server/serve.rs
+++ b/src/bin/load-balancer/server/serve.rs
@@ -5,6 +5,7 @@
 use crate::server::capacity::Admission;
 use crate::server::connection::{ClientConnection, EvictionResponse, Phase};
 use crate::server::connection_table::ConnectionId;
+use crate::server::handler::HEALTH_CHECK_PATH;
 use crate::server::response::{close_connection_after, ClientResponse};
 use crate::server::timeouts::{DISCONNECT_CHECK_INTERVAL, IDLE_TIMEOUT};
 use crate::server::Server;
@@ -76,9 +77,11 @@
         let is_incomplete = !request.body().is_end_stream();
         let is_over_capacity =
             admission == Admission::OverCapacity && !self.wait_for_capacity(client).await;
+        let is_memory_short =
+            request.uri().path() != HEALTH_CHECK_PATH && !self.wait_for_memory(client).await;
         let mut response = if is_over_capacity {
             self.reject_over_capacity(&request, "no descriptor is free")
-        } else if !self.wait_for_memory(client).await {
+        } else if is_memory_short {
             self.resources.metrics.count_memory_rejection();
             self.reject_over_capacity(&request, "too little memory is free")
         } else {
@@ -88,8 +91,12 @@
         // The bytes after an invalid request are not necessarily the beginning of another request,
         // so the connection is closed.
         let is_rejected = is_over_capacity || response.status().is_client_error();
-        client.set_rejected_incomplete(is_rejected && is_incomplete);
-        if is_rejected || self.drain_state.closes_after_response(client) {
+        let is_unread = is_rejected || is_memory_short || client.socket.is_input_aborted();
+        client.set_rejected_incomplete(is_unread && is_incomplete);
+        if is_rejected
+            || is_unread && is_incomplete
+            || self.drain_state.closes_after_response(client)
+        {
             close_connection_after(&mut response);
         }
         if client.phase() != Phase::StreamingResponse {
