--- a/src/bin/load-balancer/body/upload/mod.rs
+++ b/src/bin/load-balancer/body/upload/mod.rs
@@ -248,7 +248,6 @@
             Remainder::Complete => return Poll::Ready(None),
             Remainder::Abandoned(_) => return Poll::Ready(Some(Err(BodyError::Abandoned))),
         };
-        self.arrival.end_read_ahead();
         loop {
             let Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) else {
                 self.set_forwarding_task(cx);
--- a/src/bin/load-balancer/server/handler.rs
+++ b/src/bin/load-balancer/server/handler.rs
@@ -13,7 +13,6 @@
     StreamingGuard,
 };
 use crate::server::Server;
-use crate::socket::ReadAheadMode;
 use crate::upstream::{end_to_end_headers, ResponseContent};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -86,16 +85,11 @@
         };
         client.enter(Phase::AwaitingResponse);
         client.socket.accept_request();
-        // Unread bytes can hide that the client has disconnected. While a request awaits its
-        // response, nothing else reads the bytes that follow it, and while its body is incomplete
-        // and no attempt forwards it, nothing else reads the rest of the body.
-        client.socket.set_read_ahead(if upload.is_complete() {
-            ReadAheadMode::DropExcess
-        } else {
-            ReadAheadMode::UpToLimit
-        });
+        // While a complete request awaits its response, nothing else reads the bytes that follow
+        // it. They are read ahead, as unread bytes can hide that the client has disconnected.
+        client.socket.set_read_ahead(upload.is_complete());
         let final_response = response.await;
-        client.socket.set_read_ahead(ReadAheadMode::Off);
+        client.socket.set_read_ahead(false);
         if !upload.is_complete() {
             discard_rest_of_body(client, upload.clone());
         }
--- a/src/bin/load-balancer/socket/closing.rs
+++ b/src/bin/load-balancer/socket/closing.rs
@@ -3,7 +3,6 @@
 //! The checks query the kernel, as the event loop only knows the state of its last poll.
 
 use super::io::MAX_READ_BYTES;
-use super::read_ahead::ReadAheadMode;
 use super::system_errors::{is_resource_exhaustion, retry_on_interrupt};
 use super::Socket;
 use nix::libc::POLLRDHUP;
@@ -52,20 +51,17 @@
             PollFlags::from_bits_retain(POLLRDHUP),
         )];
         let hung_up = retry_on_interrupt(|| Ok(poll(&mut polled, PollTimeout::ZERO)?));
-        hung_up.is_ok_and(|ready| ready > 0) || self.read_ahead_to_end()
+        hung_up.is_ok_and(|ready| ready > 0)
+            || self.0.read_ahead.is_enabled() && self.read_ahead_to_end()
     }
 
-    /// Reads ahead the input that has been received, as far as the mode allows, and returns whether
-    /// the end of input or an error follows it. Unread input could otherwise fill the receive
-    /// window and keep the peer's FIN from being received.
+    /// Reads ahead the input that has been received, and returns whether the end of input or an
+    /// error follows it. Unread input could otherwise fill the receive window and keep the peer's
+    /// FIN from being received.
     fn read_ahead_to_end(&self) -> bool {
         let mut bytes = [0; MAX_READ_BYTES];
         for _ in 0..MAX_READS_PER_CHECK {
-            let length = bytes.len().min(self.0.read_ahead.max_bytes());
-            if length == 0 {
-                return false;
-            }
-            match self.read_from_kernel(&mut bytes[..length]) {
+            match self.read_from_kernel(&mut bytes) {
                 Ok(0) => return true,
                 Ok(count) => {
                     self.0.received.record_progress();
@@ -98,10 +94,8 @@
         let is_discarding = unread == UnreadInput::Discard;
         if is_discarding {
             self.0.read_ahead.discard();
-            self.set_read_ahead(ReadAheadMode::DropExcess);
-        } else {
-            self.set_read_ahead(ReadAheadMode::Off);
         }
+        self.set_read_ahead(is_discarding);
         if !is_discarding && !self.has_unread() {
             return;
         }
--- a/src/bin/load-balancer/socket/connection.rs
+++ b/src/bin/load-balancer/socket/connection.rs
@@ -4,7 +4,7 @@
 use super::exchange_limits::ExchangeLimits;
 use super::flush::FlushCounter;
 use super::input_limit::InputLimit;
-use super::read_ahead::{ReadAheadBuffer, ReadAheadMode};
+use super::read_ahead::ReadAheadBuffer;
 use super::receive_clock::ReceiveClock;
 use super::system_errors::is_local_error;
 use super::DescriptorPermit;
@@ -255,10 +255,10 @@
         self.0.exchange.record_sent(self.bytes_written());
     }
 
-    /// Sets how [`Self::is_disconnected`] reads ahead. It must not do so while something else reads
-    /// from the connection.
-    pub fn set_read_ahead(&self, mode: ReadAheadMode) {
-        self.0.read_ahead.set_mode(mode);
+    /// Enables or disables reading ahead in [`Self::is_disconnected`]. Enable it only while nothing
+    /// else reads from the connection.
+    pub fn set_read_ahead(&self, enabled: bool) {
+        self.0.read_ahead.set_enabled(enabled);
     }
 
     /// Returns a handle that tells whether the peer is connected, without keeping the connection
@@ -286,13 +286,6 @@
             .is_none_or(|inner| Socket(inner).is_disconnected())
     }
 
-    /// Ends reading ahead, because the server reads from the connection again.
-    pub(super) fn end_read_ahead(&self) {
-        if let Some(inner) = self.0.as_ref().and_then(Weak::upgrade) {
-            inner.read_ahead.set_mode(ReadAheadMode::Off);
-        }
-    }
-
     /// Returns the earliest time at which the peer can have sent the last byte before `end_offset`
     /// in its input (`None`: the last byte that was read). Returns `None` if nothing is known.
     pub(super) fn sent_at(&self, end_offset: Option<usize>) -> Option<Instant> {
--- a/src/bin/load-balancer/socket/mod.rs
+++ b/src/bin/load-balancer/socket/mod.rs
@@ -32,7 +32,6 @@
 pub use connection::{PeerHandle, Socket};
 pub use descriptor_budget::{AdminEndpoint, DescriptorBudget, DescriptorPermit, Purpose};
 pub use flush::NextFlush;
-pub use read_ahead::ReadAheadMode;
 pub use receive::enable_receive_timestamps;
 pub use receive_clock::ReceiveClock;
 pub use request_arrival::RequestArrival;
--- a/src/bin/load-balancer/socket/read_ahead/mod.rs
+++ b/src/bin/load-balancer/socket/read_ahead/mod.rs
@@ -20,18 +20,6 @@
 const MIN_GROWTH_BYTES: usize = 4 << 10;
 const GROWTH_DIVISOR: usize = 8;
 
-/// How input is read ahead while the server doesn't read a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadAheadMode {
-    /// No input is read ahead.
-    Off,
-    /// Input is read ahead up to the limit, and the rest stays in the kernel. For the rest of a
-    /// request, which must not be lost.
-    UpToLimit,
-    /// All input is read ahead, and what exceeds the limit is dropped. For input behind a request.
-    DropExcess,
-}
-
 /// The number of bytes that all connections together have read ahead and still buffer.
 #[derive(Debug, Default)]
 pub(in crate::socket) struct ReadAheadUsage(Cell<usize>);
@@ -62,7 +50,8 @@
     /// Whether bytes were dropped because the limit was reached. The input then ends after the
     /// buffered bytes.
     is_truncated: Cell<bool>,
-    mode: Cell<ReadAheadMode>,
+    /// Whether input may be read ahead, which is so while the server doesn't read the connection.
+    is_enabled: Cell<bool>,
     usage: Rc<ReadAheadUsage>,
 }
 
@@ -71,31 +60,17 @@
         ReadAheadBuffer {
             bytes: RefCell::default(),
             is_truncated: Cell::new(false),
-            mode: Cell::new(ReadAheadMode::Off),
+            is_enabled: Cell::new(false),
             usage,
         }
     }
 
-    pub(in crate::socket) fn set_mode(&self, mode: ReadAheadMode) {
-        self.mode.set(mode);
+    pub(in crate::socket) fn set_enabled(&self, enabled: bool) {
+        self.is_enabled.set(enabled);
     }
 
-    /// Returns how many bytes may be read ahead now.
-    pub(in crate::socket) fn max_bytes(&self) -> usize {
-        match self.mode.get() {
-            ReadAheadMode::Off => 0,
-            ReadAheadMode::UpToLimit => self.free_bytes(),
-            ReadAheadMode::DropExcess => usize::MAX,
-        }
-    }
-
-    /// Returns how many further bytes are buffered before the limit is reached.
-    fn free_bytes(&self) -> usize {
-        if self.is_truncated.get() {
-            return 0;
-        }
-        let limit = self.usage.connection_limit();
-        limit.saturating_sub(self.bytes.borrow().len())
+    pub(in crate::socket) fn is_enabled(&self) -> bool {
+        self.is_enabled.get()
     }
 
     pub(in crate::socket) fn is_empty(&self) -> bool {
@@ -104,8 +79,13 @@
 
     /// Appends input. Bytes beyond the limit are dropped, and so is all input after them.
     pub(in crate::socket) fn append(&self, input: &[u8]) {
-        let accepted = input.len().min(self.free_bytes());
         let mut bytes = self.bytes.borrow_mut();
+        let free = if self.is_truncated.get() {
+            0
+        } else {
+            self.usage.connection_limit().saturating_sub(bytes.len())
+        };
+        let accepted = input.len().min(free);
         if bytes.capacity() - bytes.len() < accepted {
             let growth = MIN_GROWTH_BYTES.max(bytes.len() / GROWTH_DIVISOR);
             bytes.reserve_exact(accepted.max(growth));
--- a/src/bin/load-balancer/socket/request_arrival.rs
+++ b/src/bin/load-balancer/socket/request_arrival.rs
@@ -32,11 +32,6 @@
         }
     }
 
-    /// Ends reading ahead on the connection, because the rest of the request is read from now on.
-    pub fn end_read_ahead(&self) {
-        self.client.end_read_ahead();
-    }
-
     /// Returns when the client sent the last byte that was read, as of the last recorded progress.
     /// Before the first one, returns when the request began to be tracked.
     #[must_use]
